--- /dev/null
+++ b/packages/agent/targetagentsettings.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/identifiers.h"
+#include "core/timepoint.h"
+
+#include <QString>
+
+#include <cstddef>
+
+namespace Rattanpick
+{
+
+/// What a TargetAgent is built from; the defaults are those of the design page.
+struct TargetAgentSettings
+{
+    /// Name of the target in the document.
+    QString targetName;
+    /// Identifier of the target, from its name.
+    TargetId target{};
+    /// The service that the target serves.
+    ServiceId service{};
+    /// The data centre of this process.
+    QString dataCentre;
+    /// Where the tunnel socket of this process listens.
+    Endpoint endpoint;
+    /// Chosen at random by the process when it starts; never 0.
+    Incarnation incarnation{};
+    /// Seed of the random numbers that the decisions draw.
+    quint64 seed = 1;
+
+    /// The most openings that wait for an earlier home, a candidate or a configuration.
+    std::size_t pendingOpenings = 4096;
+    /// How long a home waits for the answers of earlier homes.
+    Duration queryTimeout = 100ms;
+    /// How long a second candidate waits for a first candidate that it suspects.
+    Duration suspectQueryTimeout = 50ms;
+    /// How long a home waits for a candidate before it repeats an offer.
+    Duration offerTimeout = 20ms;
+    /// How often an offer is sent before the next candidate is asked.
+    int offerAttempts = 3;
+    /// How long an opening waits for a later configuration.
+    Duration configurationWait = 500ms;
+    /// How long an accepted flow may stay without a packet of its caller.
+    Duration unusedFlowTimeout = 10s;
+    /// How long an open flow may stay without a packet in any direction.
+    Duration idleFlowTimeout = 300s;
+    /// How long the refusal of an opening is remembered.
+    Duration refusalMemory = 2s;
+    /// How long a directory entry lives after its latest refresh.
+    Duration directoryRetention = 60s;
+    /// Time between two refreshes of the directory at the homes.
+    Duration directoryRefresh = 10s;
+    /// Time before a Register batch is sent again.
+    Duration registerTimeout = 100ms;
+    /// The longest recovery after a start.
+    Duration recoveryTimeout = 1s;
+    /// Time between heartbeats.
+    Duration heartbeatInterval = 500ms;
+    /// How many heartbeats must be missed before a peer is suspected.
+    int missedHeartbeats = 3;
+    /// How many following agents of the service get heartbeats.
+    int heartbeatPeers = 3;
+    /// A candidate gets a flow instead of the home if its load is lower by more than this, in permille.
+    int loadMarginPermille = 50;
+    /// The longest gap between two steps that is not a pause.
+    Duration pauseLimit = 1s;
+
+    bool operator==(const TargetAgentSettings &) const = default;
+};
+
+}
--- /dev/null
+++ b/packages/balancer/candidatetable.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "core/flowkey.h"
+#include "fabric/hoplist.h"
+#include "operators/configuration.h"
+
+#include <array>
+#include <cstddef>
+#include <vector>
+
+namespace Rattanpick
+{
+
+/// The ordered candidates of every bucket of one service, by weighted rendezvous hashing.
+///
+/// A function of the configuration alone, so that every node computes the same table.
+class CandidateTable
+{
+public:
+    /// The number of candidates of a bucket.
+    static constexpr std::size_t candidateCount = 3;
+    /// Buckets for each target; enough that shares follow the weights within a few percent.
+    static constexpr std::size_t bucketsPerTarget = 64;
+    /// The fewest buckets of a service.
+    static constexpr std::size_t minimumBuckets = 256;
+
+    /// The candidates of one bucket, best first; unused places have target 0.
+    using Candidates = std::array<Hop, candidateCount>;
+
+    /// Builds the table from the serving targets of the service; cost is buckets times targets.
+    CandidateTable(const Configuration &configuration, ServiceId service);
+
+    /// The number of buckets, a power of two.
+    std::size_t bucketCount() const
+    {
+        return m_bucketCount;
+    }
+
+    /// The number of serving targets.
+    std::size_t targetCount() const
+    {
+        return m_targets.size();
+    }
+
+    /// The bucket of a flow.
+    std::size_t bucketOf(const FlowKey &flow) const
+    {
+        return static_cast<std::size_t>(flow.hash()) & (m_bucketCount - 1);
+    }
+
+    /// The candidates of the flow, best first; allocates nothing.
+    Candidates candidatesOf(const FlowKey &flow) const;
+
+    /// Bytes held by the table.
+    std::size_t memoryBytes() const;
+
+    bool operator==(const CandidateTable &) const = default;
+
+private:
+    std::size_t m_bucketCount = minimumBuckets;
+    std::vector<Hop> m_targets;
+    /// candidateCount indices into m_targets for each bucket; noTarget if there are fewer targets.
+    std::vector<quint16> m_buckets;
+};
+
+}
--- /dev/null
+++ b/packages/balancer/routingstrategy.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/flowkey.h"
+#include "fabric/hoplist.h"
+#include "operators/configuration.h"
+
+namespace Rattanpick
+{
+
+/// Chooses the agents that a packet may go to; the design's way and each baseline are strategies.
+class RoutingStrategy
+{
+public:
+    virtual ~RoutingStrategy() = default;
+
+    /// Puts a configuration in force.
+    virtual void applyConfiguration(const ConfigurationPointer &configuration) = 0;
+
+    /// The agents that may own the flow, best first; empty if no target serves. Allocates nothing.
+    virtual HopList hopsOf(ServiceId service, const FlowKey &flow) const = 0;
+};
+
+}
