--- a/packages/fabric/peermessagecodec.h
+++ b/packages/fabric/peermessagecodec.h
@@ -37,8 +37,9 @@
 
 /// Writes and reads the datagrams between the system's processes.
 ///
-/// Layout: QDataStream, big endian, version Qt_6_4: magic, kind, header, body, then an 8-byte
-/// SipHash-2-4 tag (libsodium) under the fleet key over all bytes before it.
+/// Layout: QDataStream, big endian, version Qt_6_4: magic (32 bits), kind (8 bits), size of the datagram
+/// (16 bits), header, body, then an 8-byte SipHash-2-4 tag (libsodium) under the fleet key over all bytes
+/// before it. An instance is for one thread, since decode() stores its reason.
 class PeerMessageCodec
 {
 public:
