--- a/packages/balancer/candidatetable.h
+++ b/packages/balancer/candidatetable.h
@@ -42,6 +42,12 @@
         return m_targets.size();
     }
 
+    /// The serving targets, ordered by identifier.
+    const std::vector<Hop> &targets() const
+    {
+        return m_targets;
+    }
+
     /// The bucket of a flow.
     std::size_t bucketOf(const FlowKey &flow) const
     {
@@ -51,6 +57,9 @@
     /// The candidates of the flow, best first; allocates nothing.
     Candidates candidatesOf(const FlowKey &flow) const;
 
+    /// Whether building a table from the configuration would give an equal one; cheaper than building it.
+    bool isBuiltFrom(const Configuration &configuration, ServiceId service) const;
+
     /// Bytes held by the table.
     std::size_t memoryBytes() const;
 
@@ -59,6 +68,7 @@
 private:
     std::size_t m_bucketCount = minimumBuckets;
     std::vector<Hop> m_targets;
+    std::vector<quint32> m_weights;
     /// candidateCount indices into m_targets for each bucket; noTarget if there are fewer targets.
     std::vector<quint16> m_buckets;
 };
--- a/packages/balancer/router.h
+++ b/packages/balancer/router.h
@@ -43,8 +43,10 @@
     /// Passes time; notices a pause of the process and ends the hold after it.
     void onTick(TimePoint now);
 
-    /// A peer has told its version, which ends the hold after a pause if ours is not older.
-    void onVersionCompared(TimePoint now, const ConfigurationVersion &peerVersion);
+    /// A peer's version was received at @p receivedAt, which ends the hold after a pause if ours is not older.
+    ///
+    /// Without effect if it was received before the hold began: what waited in a queue during the pause proves nothing.
+    void onVersionCompared(TimePoint receivedAt, const ConfigurationVersion &peerVersion);
 
     /// Decides about a packet of the flow; allocates nothing.
     RouteDecision route(TimePoint now, const FlowKey &flow);
@@ -61,6 +63,12 @@
         return m_pauses;
     }
 
+    /// The holds that ended because no peer answered in time.
+    quint64 unansweredHolds() const
+    {
+        return m_unansweredHolds;
+    }
+
     /// The configuration in force, or null.
     const ConfigurationPointer &configuration() const
     {
@@ -81,9 +89,11 @@
     ConfigurationPointer m_configuration;
     std::unordered_set<quint32> m_suspects;
     std::optional<TimePoint> m_pauseDeadline;
-    std::optional<TimePoint> m_holdDeadline;
+    TimePoint m_holdSince;
+    TimePoint m_holdDeadline;
     bool m_isHolding = false;
     quint64 m_pauses = 0;
+    quint64 m_unansweredHolds = 0;
 };
 
 }
--- a/packages/balancer/servicetables.h
+++ b/packages/balancer/servicetables.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Rattanpick
 {
@@ -43,12 +44,21 @@
     const std::deque<Generation> *generations(ServiceId service) const;
 
     /// The hop list of a flow: its candidates, then first candidates of earlier tables; allocates nothing.
+    ///
+    /// Targets in a data centre that is out are never listed; those that drain or have left the document are.
     HopList hopsOf(ServiceId service, const FlowKey &flow) const;
 
 private:
+    void applyService(const Service &service);
+    void barLeftDataCentres();
+
     ConfigurationPointer m_configuration;
     ServiceId m_onlyService{};
     std::unordered_map<quint32, std::deque<Generation>> m_generations;
+    /// The data centre of each target in a kept table, as the latest document that names the target has it.
+    std::unordered_map<quint32, QString> m_dataCentres;
+    /// Targets of kept tables whose data centre is out or gone.
+    std::unordered_set<quint32> m_barred;
 };
 
 }
