--- a/cmake/RattanpickTargets.cmake
+++ b/cmake/RattanpickTargets.cmake
@@ -21,6 +21,8 @@
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${folder}/*.cpp)
     add_executable(test_${folder} ${sources})
     target_include_directories(test_${folder} PRIVATE ${PROJECT_SOURCE_DIR}/packages ${PROJECT_SOURCE_DIR})
+    # Tests that read documents of the source tree find it by this name; __FILE__ is relative under ccache.
+    target_compile_definitions(test_${folder} PRIVATE RATTANPICK_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
     target_link_libraries(test_${folder} PRIVATE rattanpick_options GTest::gtest GTest::gtest_main rapidcheck ${ARG_LINKS})
     add_test(NAME ${folder} COMMAND test_${folder})
     set_tests_properties(${folder} PROPERTIES TIMEOUT 300)
--- a/packages/core/event.cpp
+++ b/packages/core/event.cpp
@@ -3,8 +3,8 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <algorithm>
 #include <array>
-#include <utility>
 
 namespace Rattanpick
 {
@@ -12,43 +12,61 @@
 namespace
 {
 
-using NamedEvent = std::pair<EventNumber, const char *>;
+struct NamedEvent
+{
+    EventNumber number;
+    const char *name;
+    EventLevel level;
+};
+
+struct NamedLevel
+{
+    EventLevel level;
+    const char *name;
+};
+
+constexpr std::array levelNames{
+    NamedLevel{EventLevel::Debug, "debug"},
+    NamedLevel{EventLevel::Info, "info"},
+    NamedLevel{EventLevel::Warning, "warning"},
+    NamedLevel{EventLevel::Error, "error"},
+};
 
 constexpr std::array eventNames{
-    NamedEvent{EventNumber::ProcessStarted, "ProcessStarted"},
-    NamedEvent{EventNumber::ProcessStopping, "ProcessStopping"},
-    NamedEvent{EventNumber::ProcessStopped, "ProcessStopped"},
-    NamedEvent{EventNumber::PauseNoticed, "PauseNoticed"},
-    NamedEvent{EventNumber::SettingsRefused, "SettingsRefused"},
-    NamedEvent{EventNumber::RingFull, "RingFull"},
-    NamedEvent{EventNumber::ConfigurationAccepted, "ConfigurationAccepted"},
-    NamedEvent{EventNumber::ConfigurationRefused, "ConfigurationRefused"},
-    NamedEvent{EventNumber::ConfigurationConflict, "ConfigurationConflict"},
-    NamedEvent{EventNumber::PlatformUnavailable, "PlatformUnavailable"},
-    NamedEvent{EventNumber::PlatformReturned, "PlatformReturned"},
-    NamedEvent{EventNumber::ReaderElected, "ReaderElected"},
-    NamedEvent{EventNumber::ReaderDismissed, "ReaderDismissed"},
-    NamedEvent{EventNumber::FlowOpened, "FlowOpened"},
-    NamedEvent{EventNumber::FlowRefused, "FlowRefused"},
-    NamedEvent{EventNumber::FlowClosed, "FlowClosed"},
-    NamedEvent{EventNumber::FlowBroken, "FlowBroken"},
-    NamedEvent{EventNumber::FlowRebound, "FlowRebound"},
-    NamedEvent{EventNumber::FlowHandedOver, "FlowHandedOver"},
-    NamedEvent{EventNumber::RequestDelivered, "RequestDelivered"},
-    NamedEvent{EventNumber::RequestAnswered, "RequestAnswered"},
-    NamedEvent{EventNumber::RequestNotRun, "RequestNotRun"},
-    NamedEvent{EventNumber::RequestOutcomeUnknown, "RequestOutcomeUnknown"},
-    NamedEvent{EventNumber::RequestRepeated, "RequestRepeated"},
-    NamedEvent{EventNumber::RequestCancelled, "RequestCancelled"},
-    NamedEvent{EventNumber::PeerSuspected, "PeerSuspected"},
-    NamedEvent{EventNumber::PeerRefuted, "PeerRefuted"},
-    NamedEvent{EventNumber::DataCentreOut, "DataCentreOut"},
-    NamedEvent{EventNumber::DataCentreIn, "DataCentreIn"},
-    NamedEvent{EventNumber::TargetCold, "TargetCold"},
-    NamedEvent{EventNumber::TargetWarm, "TargetWarm"},
-    NamedEvent{EventNumber::TargetDraining, "TargetDraining"},
-    NamedEvent{EventNumber::TargetLost, "TargetLost"},
-    NamedEvent{EventNumber::PacketDropped, "PacketDropped"},
+    NamedEvent{EventNumber::ProcessStarted, "ProcessStarted", EventLevel::Info},
+    NamedEvent{EventNumber::ProcessStopping, "ProcessStopping", EventLevel::Info},
+    NamedEvent{EventNumber::ProcessStopped, "ProcessStopped", EventLevel::Info},
+    NamedEvent{EventNumber::PauseNoticed, "PauseNoticed", EventLevel::Warning},
+    NamedEvent{EventNumber::SettingsRefused, "SettingsRefused", EventLevel::Error},
+    NamedEvent{EventNumber::RingFull, "RingFull", EventLevel::Warning},
+    NamedEvent{EventNumber::ConfigurationAccepted, "ConfigurationAccepted", EventLevel::Info},
+    NamedEvent{EventNumber::ConfigurationRefused, "ConfigurationRefused", EventLevel::Error},
+    NamedEvent{EventNumber::ConfigurationConflict, "ConfigurationConflict", EventLevel::Error},
+    NamedEvent{EventNumber::PlatformUnavailable, "PlatformUnavailable", EventLevel::Warning},
+    NamedEvent{EventNumber::PlatformReturned, "PlatformReturned", EventLevel::Info},
+    NamedEvent{EventNumber::ReaderElected, "ReaderElected", EventLevel::Info},
+    NamedEvent{EventNumber::ReaderDismissed, "ReaderDismissed", EventLevel::Info},
+    NamedEvent{EventNumber::FlowOpened, "FlowOpened", EventLevel::Debug},
+    NamedEvent{EventNumber::FlowRefused, "FlowRefused", EventLevel::Warning},
+    NamedEvent{EventNumber::FlowClosed, "FlowClosed", EventLevel::Debug},
+    NamedEvent{EventNumber::FlowBroken, "FlowBroken", EventLevel::Error},
+    NamedEvent{EventNumber::FlowRebound, "FlowRebound", EventLevel::Info},
+    NamedEvent{EventNumber::FlowHandedOver, "FlowHandedOver", EventLevel::Info},
+    NamedEvent{EventNumber::RequestDelivered, "RequestDelivered", EventLevel::Debug},
+    NamedEvent{EventNumber::RequestAnswered, "RequestAnswered", EventLevel::Debug},
+    NamedEvent{EventNumber::RequestNotRun, "RequestNotRun", EventLevel::Warning},
+    NamedEvent{EventNumber::RequestOutcomeUnknown, "RequestOutcomeUnknown", EventLevel::Error},
+    NamedEvent{EventNumber::RequestRepeated, "RequestRepeated", EventLevel::Debug},
+    NamedEvent{EventNumber::RequestCancelled, "RequestCancelled", EventLevel::Info},
+    NamedEvent{EventNumber::PeerSuspected, "PeerSuspected", EventLevel::Warning},
+    NamedEvent{EventNumber::PeerRefuted, "PeerRefuted", EventLevel::Info},
+    NamedEvent{EventNumber::DataCentreOut, "DataCentreOut", EventLevel::Warning},
+    NamedEvent{EventNumber::DataCentreIn, "DataCentreIn", EventLevel::Info},
+    NamedEvent{EventNumber::TargetCold, "TargetCold", EventLevel::Warning},
+    NamedEvent{EventNumber::TargetWarm, "TargetWarm", EventLevel::Info},
+    NamedEvent{EventNumber::TargetDraining, "TargetDraining", EventLevel::Info},
+    NamedEvent{EventNumber::TargetLost, "TargetLost", EventLevel::Error},
+    NamedEvent{EventNumber::PacketDropped, "PacketDropped", EventLevel::Debug},
 };
 
 }
@@ -91,12 +109,49 @@
 
 QString eventName(EventNumber number)
 {
-    for (const auto &[known, name] : eventNames) {
-        if (known == number) {
-            return QString::fromLatin1(name);
+    const auto *found = std::ranges::find(eventNames, number, &NamedEvent::number);
+    return found != eventNames.end() ? QString::fromLatin1(found->name) : QString();
+}
+
+std::optional<EventNumber> eventNumberOf(const QString &name)
+{
+    for (const NamedEvent &known : eventNames) {
+        if (name == QLatin1String(known.name)) {
+            return known.number;
         }
     }
-    return {};
+    return std::nullopt;
+}
+
+EventLevel eventLevel(EventNumber number)
+{
+    const auto *found = std::ranges::find(eventNames, number, &NamedEvent::number);
+    return found != eventNames.end() ? found->level : EventLevel::Error;
+}
+
+QString eventLevelName(EventLevel level)
+{
+    const auto *found = std::ranges::find(levelNames, level, &NamedLevel::level);
+    return found != levelNames.end() ? QString::fromLatin1(found->name) : QString();
+}
+
+std::optional<EventLevel> eventLevelOf(const QString &name)
+{
+    for (const NamedLevel &known : levelNames) {
+        if (name == QLatin1String(known.name)) {
+            return known.level;
+        }
+    }
+    return std::nullopt;
+}
+
+QList<EventNumber> allEventNumbers()
+{
+    QList<EventNumber> numbers;
+    for (const NamedEvent &known : eventNames) {
+        numbers.append(known.number);
+    }
+    return numbers;
 }
 
 }
--- a/packages/core/event.h
+++ b/packages/core/event.h
@@ -3,6 +3,7 @@
 #include "core/eventnumber.h"
 
 #include <QByteArray>
+#include <QList>
 #include <QString>
 
 #include <optional>
@@ -36,7 +37,30 @@
     static std::optional<Event> fromJson(const QByteArray &line);
 };
 
+/// How urgent an event is for an operator.
+enum class EventLevel : quint8 {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
 /// The name of an event number as the catalogue has it, such as "FlowOpened"; empty if the number is unknown.
 QString eventName(EventNumber number);
 
+/// The number of an event name; nothing if no event has the name.
+std::optional<EventNumber> eventNumberOf(const QString &name);
+
+/// The level of an event number as the catalogue has it; Error if the number is unknown.
+EventLevel eventLevel(EventNumber number);
+
+/// "debug", "info", "warning" or "error".
+QString eventLevelName(EventLevel level);
+
+/// The level of a name that eventLevelName() gives; nothing for another text.
+std::optional<EventLevel> eventLevelOf(const QString &name);
+
+/// All event numbers in rising order.
+QList<EventNumber> allEventNumbers();
+
 }
--- /dev/null
+++ b/packages/core/logging.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "core/event.h"
+
+namespace Rattanpick
+{
+
+/// Sends all log lines of at least @p level to standard error; call once at the start of a program.
+///
+/// Lines of events are plain JSON, so that a saved log can be read as a file of events; other lines start with
+/// time, level and logger.
+void setUpLogging(EventLevel level);
+
+}
