--- a/packages/operators/configuration.cpp
+++ b/packages/operators/configuration.cpp
@@ -60,8 +60,8 @@
 std::vector<const Target *> Configuration::targetsOf(ServiceId id) const
 {
     std::vector<const Target *> targets;
-    for (const Target &target : std::ranges::equal_range(m_targets, id, {}, &Target::service)) {
-        targets.push_back(&target);
+    for (auto target = std::ranges::lower_bound(m_targets, id, {}, &Target::service); target != m_targets.end() && target->service == id; ++target) {
+        targets.push_back(&*target);
     }
     return targets;
 }
