Add the codec of caller messages

Cause: agents, stand-ins and callers need the wire form of CallerMessage. Ruled out: QDataStream's own QByteArray format, whose 32-bit length and null marker give one message more than one encoding; bodies carry a 16-bit length instead. Conclusion: a payload is accepted only if it is what the encoder writes.

--- a/packages/caller/callermessagecodec.h
+++ b/packages/caller/callermessagecodec.h
@@ -13,10 +13,25 @@
 /// The largest encoded caller message, in bytes.
 inline constexpr qsizetype maximumCallerMessageSize = 1200;
 
+/// The largest Data::payload, in bytes.
+inline constexpr qsizetype maximumDataPayloadSize = maximumCallerMessageSize - 19;
+
+/// The largest Request::body, in bytes.
+inline constexpr qsizetype maximumRequestBodySize = maximumCallerMessageSize - 32;
+
+/// The largest AnswerPart::body, in bytes.
+inline constexpr qsizetype maximumAnswerBodySize = maximumCallerMessageSize - 23;
+
 /// The UDP payload for the message (QDataStream, big endian, version Qt_6_4, first byte is the kind).
+///
+/// Its size must not exceed maximumCallerMessageSize.
 QByteArray encodeCallerMessage(const CallerMessage &message);
 
 /// The message in a UDP payload; nothing if it is truncated, too long, of unknown kind or followed by other bytes.
+///
+/// Values that no sender produces are refused too: a nonce, number, sequence or announced flow incarnation
+/// of 0, an unknown reason or outcome, a flag other than 0 or 1, and a part number that does not fit the
+/// number of parts. Refused::number may be 0, and Request::flowIncarnation is left to the receiver.
 std::optional<CallerMessage> decodeCallerMessage(QByteArrayView payload);
 
 }
