--- /dev/null
+++ b/packages/agent/coldstartramp.cpp
@@ -0,0 +1,190 @@
+#include "agent/coldstartramp.h"
+
+#include "core/assertion.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+using Seconds = std::chrono::duration<double>;
+
+// Steps of the baseline, as a share of its value. Falling three times as fast as it rises makes it settle
+// near the lower quartile of the ordinary response times: short requests alone do not make others look slow.
+constexpr double baselineFall = 0.0375;
+constexpr double baselineRise = 0.0125;
+// A response time that is not good moves the baseline by time alone: it doubles in this many warm times. A target
+// that has become slower for good is accepted in the end, while one that is cold for a warm time moves it by a fifth.
+constexpr double driftWarmTimes = 4;
+// Weight of the latest response time in the mean.
+constexpr double meanWeight = 0.1;
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration_cast<Seconds>(duration).count();
+}
+
+Duration durationOf(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(Seconds(seconds));
+}
+
+}
+
+ColdStartRamp::ColdStartRamp(const ColdStartRampSettings &settings)
+    : m_settings(settings)
+{
+    RP_ASSERT(settings.coldSharePercent >= 1 && settings.coldSharePercent <= 100);
+}
+
+void ColdStartRamp::setLimits(quint32 slotCount, int coldSharePercent, int warmSeconds)
+{
+    RP_ASSERT(slotCount >= 1);
+    RP_ASSERT(coldSharePercent >= 1 && coldSharePercent <= 100);
+    m_slotCount = slotCount;
+    m_settings.coldSharePercent = coldSharePercent;
+    m_settings.warmTime = std::chrono::seconds(warmSeconds);
+    m_grown = std::min(m_grown, m_settings.warmTime);
+}
+
+void ColdStartRamp::onStart(TimePoint now)
+{
+    m_lastStart = now;
+}
+
+void ColdStartRamp::onResponse(TimePoint now, Duration responseTime)
+{
+    const double seconds = std::max(secondsOf(responseTime), 1e-6);
+    const bool isFirst = m_baselineSeconds == 0;
+    if (isFirst) {
+        m_baselineSeconds = seconds;
+        m_meanSeconds = seconds;
+    }
+    const bool isGood = seconds < m_baselineSeconds * m_settings.goodMultiple;
+    const bool isSlow = seconds > m_baselineSeconds * m_settings.slowMultiple;
+    if (isGood && !isFirst && m_lastEvidence) {
+        // The ramp's own pauses between starts are no lack of evidence.
+        const Duration vouched = std::min(now - *m_lastEvidence, m_settings.evidenceSpan + startInterval());
+        m_grown = std::min(m_grown + vouched, m_settings.warmTime);
+    }
+    m_meanSeconds += meanWeight * (seconds - m_meanSeconds);
+    moveBaseline(now, seconds);
+    m_lastEvidence = now;
+    countSlow(isSlow);
+}
+
+void ColdStartRamp::onNoAnswer(TimePoint now, Duration elapsed)
+{
+    // The true response time is longer than what has elapsed, so it may show that the target is slow but never that it is fast.
+    const bool isSlow = m_baselineSeconds > 0 && secondsOf(elapsed) > m_baselineSeconds * m_settings.slowMultiple;
+    m_lastEvidence = now;
+    if (isSlow) {
+        countSlow(true);
+    }
+}
+
+void ColdStartRamp::onShed(TimePoint now)
+{
+    m_lastEvidence = now;
+}
+
+void ColdStartRamp::turnCold()
+{
+    m_slowInARow = 0;
+    m_lastEvidence.reset();
+    if (m_grown == Duration::zero()) {
+        return;
+    }
+    m_grown = Duration::zero();
+    ++m_coldTurns;
+}
+
+double ColdStartRamp::share() const
+{
+    if (isWarm()) {
+        return 1;
+    }
+    const double coldShare = m_settings.coldSharePercent / 100.0;
+    return coldShare + (1 - coldShare) * (secondsOf(m_grown) / secondsOf(m_settings.warmTime));
+}
+
+quint16 ColdStartRamp::sharePermille() const
+{
+    return static_cast<quint16>(share() * 1000);
+}
+
+bool ColdStartRamp::isWarm() const
+{
+    return m_settings.strategy == ColdStartStrategy::NoRamp || m_grown >= m_settings.warmTime;
+}
+
+std::size_t ColdStartRamp::permittedConcurrency() const
+{
+    return std::max<std::size_t>(1, static_cast<std::size_t>(std::floor(m_slotCount * share())));
+}
+
+Duration ColdStartRamp::startInterval() const
+{
+    if (isWarm()) {
+        return Duration::zero();
+    }
+    return durationOf(m_meanSeconds / (m_slotCount * share()));
+}
+
+bool ColdStartRamp::mayStart(TimePoint now, std::size_t inTarget) const
+{
+    if (isWarm()) {
+        return inTarget < m_slotCount;
+    }
+    // Without a service time the rate is not known; one request at a time finds it out.
+    const std::size_t concurrency = m_meanSeconds == 0 ? 1 : permittedConcurrency();
+    return inTarget < concurrency && (!m_lastStart || now >= *m_lastStart + startInterval());
+}
+
+std::optional<Duration> ColdStartRamp::baseline() const
+{
+    if (m_baselineSeconds == 0) {
+        return std::nullopt;
+    }
+    return durationOf(m_baselineSeconds);
+}
+
+std::optional<Duration> ColdStartRamp::meanServiceTime() const
+{
+    if (m_meanSeconds == 0) {
+        return std::nullopt;
+    }
+    return durationOf(m_meanSeconds);
+}
+
+void ColdStartRamp::moveBaseline(TimePoint now, double seconds)
+{
+    if (seconds < m_baselineSeconds) {
+        m_baselineSeconds = std::max(seconds, m_baselineSeconds * (1 - baselineFall));
+        return;
+    }
+    if (seconds < m_baselineSeconds * m_settings.goodMultiple) {
+        m_baselineSeconds = std::min(seconds, m_baselineSeconds * (1 + baselineRise));
+        return;
+    }
+    if (!m_lastEvidence || m_settings.warmTime == Duration::zero()) {
+        return;
+    }
+    const Duration vouched = std::min(now - *m_lastEvidence, m_settings.evidenceSpan + startInterval());
+    m_baselineSeconds *= std::exp2(secondsOf(vouched) / (driftWarmTimes * secondsOf(m_settings.warmTime)));
+}
+
+void ColdStartRamp::countSlow(bool isSlow)
+{
+    m_slowInARow = isSlow ? m_slowInARow + 1 : 0;
+    if (m_slowInARow >= m_settings.slowLimit) {
+        turnCold();
+    }
+}
+
+}
--- /dev/null
+++ b/packages/agent/coldstartrampsettings.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "core/timepoint.h"
+
+#include <QtGlobal>
+
+namespace Rattanpick
+{
+
+/// How the load of a target that has just started is limited.
+enum class ColdStartStrategy : quint8 {
+    /// The permitted share rises with the evidence of response times.
+    Ramp,
+    /// The whole share is permitted at once: the baseline that tests compare with.
+    NoRamp,
+};
+
+/// What a ColdStartRamp is built from.
+struct ColdStartRampSettings
+{
+    ColdStartStrategy strategy = ColdStartStrategy::Ramp;
+    /// The share permitted to a cold target, in percent.
+    int coldSharePercent = 10;
+    /// How long response times must stay good until the whole share is permitted.
+    Duration warmTime = 30s;
+    /// Response times below this multiple of the baseline count as good.
+    int goodMultiple = 2;
+    /// Response times above this multiple of the baseline count as slow.
+    int slowMultiple = 3;
+    /// How many slow response times in a row show that the target has turned cold.
+    int slowLimit = 8;
+    /// The longest time that one good response time vouches for, besides the ramp's own pause between starts.
+    Duration evidenceSpan = 1s;
+
+    bool operator==(const ColdStartRampSettings &) const = default;
+};
+
+}
--- a/packages/agent/requesttable.h
+++ b/packages/agent/requesttable.h
@@ -42,8 +42,13 @@
     void onRequest(TimePoint now, const FlowKey &flow, const Request &request, AgentActions &actions);
 
     /// An idempotent request that another agent has handed over.
+    ///
+    /// Only the owner of a flow can promise that a request has not run, so refusals here say OutcomeUnknown.
     void onRetriedRequest(TimePoint now, const FlowKey &flow, const Request &request, AgentActions &actions);
 
+    /// No other agent could be asked to run a request that RetryElsewhere has named; it ends as not run.
+    void onRetryNotPlaced(TimePoint now, const FlowKey &flow, quint64 nonce, quint64 number, AgentActions &actions);
+
     /// The caller no longer wants the answer; may arrive before the request.
     void onCancel(TimePoint now, const FlowKey &flow, const Cancel &cancel, AgentActions &actions);
 
@@ -61,7 +66,10 @@
     /// The target has stopped the request.
     void onTargetCancelled(TimePoint now, const TargetCancelled &cancelled, AgentActions &actions);
 
-    /// The target process has been replaced: delivered requests have an unknown outcome, queued ones have not run.
+    /// The target process has been replaced: delivered requests have an unknown outcome.
+    ///
+    /// Queued ones start no earlier than the next onTick(), so that flows which the new process does not
+    /// know can be closed before; closeFlow() ends their queued requests as not run.
     void onTargetLost(TimePoint now, AgentActions &actions);
 
     // Limits
@@ -72,7 +80,7 @@
     /// New requests are refused as not run with this reason; None accepts them again.
     void refuseNewRequests(RefusalReason reason);
 
-    /// Whether no request is queued or in progress at the target.
+    /// Whether no request is queued or in progress at the target, and no answer waits for its acknowledgement.
     bool isIdle() const;
 
     /// Busy share of the target in permille, queue included; may exceed 1000.
