--- a/packages/agent/agentaction.h
+++ b/packages/agent/agentaction.h
@@ -69,6 +69,14 @@
     bool operator==(const FetchConfiguration &) const = default;
 };
 
+/// Spread a confirmed suspicion, or its refutation, to balancers and agents of other services.
+struct SpreadSuspicion
+{
+    Suspicion suspicion;
+
+    bool operator==(const SpreadSuspicion &) const = default;
+};
+
 /// Count a dropped packet.
 struct CountDrop
 {
@@ -78,7 +86,7 @@
 };
 
 /// What a decision of the agent asks its process to do.
-using AgentAction = std::variant<SendToPeer, SendToCaller, SendToTarget, RecordEvent, RetryElsewhere, FetchConfiguration, CountDrop>;
+using AgentAction = std::variant<SendToPeer, SendToCaller, SendToTarget, RecordEvent, RetryElsewhere, FetchConfiguration, SpreadSuspicion, CountDrop>;
 
 /// Actions in the order in which they are to be carried out.
 using AgentActions = std::vector<AgentAction>;
--- /dev/null
+++ b/packages/agent/failuredetector.cpp
@@ -0,0 +1,189 @@
+#include "agent/failuredetector.h"
+
+#include <algorithm>
+
+namespace Rattanpick
+{
+
+FailureDetector::FailureDetector(AgentContext &context)
+    : m_context(context)
+{
+}
+
+void FailureDetector::recompute(TimePoint now)
+{
+    const TargetId self = m_context.settings().target;
+    m_ring.clear();
+    for (const Target *target : m_context.configuration()->targetsOf(m_context.settings().service)) {
+        m_ring.push_back({target->id, target->agent});
+    }
+
+    m_receivers.clear();
+    if (m_ring.size() <= fullMeshLimit) {
+        std::ranges::copy_if(m_ring, std::back_inserter(m_receivers), [self](const Hop &hop) { return hop.target != self; });
+    } else {
+        m_receivers = followersOf(self);
+    }
+
+    std::map<TargetId, TimePoint> watched;
+    const Duration silence = m_context.settings().heartbeatInterval * m_context.settings().missedHeartbeats;
+    for (const Hop &hop : m_ring) {
+        if (hop.target == self) {
+            continue;
+        }
+        const std::vector<Hop> followers = followersOf(hop.target);
+        const bool isWatched = std::ranges::any_of(followers, [self](const Hop &follower) { return follower.target == self; });
+        if (!isWatched) {
+            continue;
+        }
+        const auto before = m_silenceDeadlines.find(hop.target);
+        watched.emplace(hop.target, before != m_silenceDeadlines.end() ? before->second : now + silence);
+    }
+    m_silenceDeadlines = std::move(watched);
+}
+
+void FailureDetector::onSignOfLife(TimePoint now, const Hop &from, Incarnation incarnation, AgentActions &actions)
+{
+    m_reports.erase(from.target);
+    const auto watched = m_silenceDeadlines.find(from.target);
+    const bool isWatcher = watched != m_silenceDeadlines.end();
+    if (isWatcher) {
+        watched->second = now + m_context.settings().heartbeatInterval * m_context.settings().missedHeartbeats;
+    }
+    if (!m_context.peers().setSuspected(from.target, false)) {
+        return;
+    }
+    actions.emplace_back(RecordEvent{EventNumber::PeerRefuted, {}, 0, QStringLiteral("agent at %1 has sent a message").arg(from.endpoint.toString())});
+    // Only watchers tell others, else each agent that hears the peer again would.
+    if (isWatcher) {
+        refute(from, incarnation, actions);
+    }
+}
+
+bool FailureDetector::onSuspicion(TimePoint now, const Suspicion &suspicion, AgentActions &actions)
+{
+    const Hop &suspect = suspicion.suspect;
+    if (suspect.target == m_context.settings().target) {
+        const bool isAboutThisProcess = suspicion.suspectIncarnation == m_context.settings().incarnation || suspicion.suspectIncarnation == Incarnation{};
+        if (!suspicion.isRefuted && isAboutThisProcess && !m_isStopping) {
+            refute(m_context.self(), m_context.settings().incarnation, actions);
+        }
+        return false;
+    }
+    if (suspicion.isRefuted) {
+        m_reports.erase(suspect.target);
+        return m_context.peers().setSuspected(suspect.target, false);
+    }
+    const Incarnation known = m_context.peers().incarnationOf(suspect.target);
+    if (known != Incarnation{} && suspicion.suspectIncarnation != Incarnation{} && known != suspicion.suspectIncarnation) {
+        return false;
+    }
+    if (suspicion.reporter != TargetId{}) {
+        m_reports[suspect.target].insert(suspicion.reporter);
+        // The report of a cut-off watcher must not convince an agent that hears the peer itself.
+        if (m_context.peers().wasSeenAfter(suspect.target, now - m_context.settings().heartbeatInterval * m_context.settings().missedHeartbeats)) {
+            return false;
+        }
+        return confirmIfAgreed(suspect, suspicion.suspectIncarnation, actions);
+    }
+    if (m_context.peers().wasSeenAfter(suspect.target, now - m_context.settings().heartbeatInterval)) {
+        return false;
+    }
+    const bool isChange = m_context.peers().setSuspected(suspect.target, true);
+    if (isChange) {
+        actions.emplace_back(RecordEvent{EventNumber::PeerSuspected, {}, 0, QStringLiteral("agent at %1, reported").arg(suspect.endpoint.toString())});
+    }
+    return isChange;
+}
+
+void FailureDetector::restartWaiting(TimePoint now)
+{
+    for (auto &[target, deadline] : m_silenceDeadlines) {
+        deadline = now + m_context.settings().heartbeatInterval * m_context.settings().missedHeartbeats;
+    }
+    m_reports.clear();
+}
+
+void FailureDetector::announceStop(AgentActions &actions)
+{
+    m_isStopping = true;
+    spreadToService(Suspicion{m_context.self(), m_context.settings().incarnation, false, TargetId{}}, actions);
+}
+
+bool FailureDetector::onTick(TimePoint now, bool isDraining, AgentActions &actions)
+{
+    if (now >= m_heartbeatDeadline) {
+        m_heartbeatDeadline = now + m_context.settings().heartbeatInterval;
+        ++m_sequence;
+        for (const Hop &receiver : m_receivers) {
+            // A stopping agent stays silent so that it does not refute its own announcement.
+            if (!m_isStopping) {
+                m_context.send(receiver, Heartbeat{isDraining, m_sequence}, actions);
+            }
+        }
+    }
+
+    bool isChange = false;
+    for (auto &[target, deadline] : m_silenceDeadlines) {
+        if (now < deadline || m_context.peers().isSuspected(target)) {
+            continue;
+        }
+        const auto suspect = std::ranges::find(m_ring, target, &Hop::target);
+        RP_ASSERT(suspect != m_ring.end());
+        // Repeated at each interval until the suspicion is confirmed or a message comes.
+        deadline = now + m_context.settings().heartbeatInterval;
+        const Incarnation incarnation = m_context.peers().incarnationOf(target);
+        m_reports[target].insert(m_context.settings().target);
+        for (const Hop &follower : followersOf(target)) {
+            if (follower.target != m_context.settings().target) {
+                m_context.send(follower, Suspicion{*suspect, incarnation, false, m_context.settings().target}, actions);
+            }
+        }
+        isChange = confirmIfAgreed(*suspect, incarnation, actions) || isChange;
+    }
+    return isChange;
+}
+
+std::vector<Hop> FailureDetector::followersOf(TargetId target) const
+{
+    std::vector<Hop> followers;
+    const auto place = std::ranges::find(m_ring, target, &Hop::target);
+    if (place == m_ring.end()) {
+        return followers;
+    }
+    const std::size_t start = static_cast<std::size_t>(place - m_ring.begin());
+    for (std::size_t step = 1; step < m_ring.size() && followers.size() < static_cast<std::size_t>(m_context.settings().heartbeatPeers); ++step) {
+        followers.push_back(m_ring[(start + step) % m_ring.size()]);
+    }
+    return followers;
+}
+
+bool FailureDetector::confirmIfAgreed(const Hop &suspect, Incarnation incarnation, AgentActions &actions)
+{
+    // In a service of two targets only one watcher exists; its word must do.
+    const std::size_t watcherCount = followersOf(suspect.target).size();
+    const std::size_t needed = m_context.peers().isListedGone(suspect.target) ? 1 : std::min<std::size_t>(2, watcherCount);
+    if (m_reports[suspect.target].size() < needed || !m_context.peers().setSuspected(suspect.target, true)) {
+        return false;
+    }
+    actions.emplace_back(RecordEvent{EventNumber::PeerSuspected, {}, 0, QStringLiteral("agent at %1, heartbeats missed").arg(suspect.endpoint.toString())});
+    spreadToService(Suspicion{suspect, incarnation, false, TargetId{}}, actions);
+    return true;
+}
+
+void FailureDetector::spreadToService(const Suspicion &suspicion, AgentActions &actions)
+{
+    for (const Hop &receiver : m_receivers) {
+        if (receiver.target != suspicion.suspect.target) {
+            m_context.send(receiver, suspicion, actions);
+        }
+    }
+    actions.emplace_back(SpreadSuspicion{suspicion});
+}
+
+void FailureDetector::refute(const Hop &hop, Incarnation incarnation, AgentActions &actions)
+{
+    spreadToService(Suspicion{hop, incarnation, true, TargetId{}}, actions);
+}
+
+}
--- /dev/null
+++ b/packages/agent/peerview.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/configurationversion.h"
+#include "core/identifiers.h"
+#include "core/timepoint.h"
+#include "fabric/tunnelheader.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace Rattanpick
+{
+
+/// What an agent knows of the other agents of its service from their own messages and the instance list.
+class PeerView
+{
+public:
+    /// How long a reported load counts; later the peer's load is unknown.
+    static constexpr Duration loadLifetime = 2s;
+
+    // Observation
+
+    /// Takes note of a message; true if the sender has another incarnation than before.
+    bool onMessage(TimePoint now, const TunnelHeader &header);
+
+    /// The instance list shows (or no longer shows) the target's agent as live.
+    void setListedLive(TargetId target, bool isLive);
+
+    /// Marks the peer as suspected dead, or no longer; true if that is new.
+    bool setSuspected(TargetId target, bool isSuspected);
+
+    /// Raises the peer's load until its next message, for a flow that it has just been given.
+    void addExpectedLoad(TargetId target, int permille);
+
+    // Questions
+
+    /// The highest version that the peer has shown; a null version if none.
+    ConfigurationVersion versionOf(TargetId target) const;
+
+    /// Whether the peer has shown the version or a later one.
+    bool hasReached(TargetId target, const ConfigurationVersion &version) const;
+
+    /// Load in permille, or nothing if the peer has not told it lately.
+    std::optional<int> loadOf(TimePoint now, TargetId target) const;
+
+    /// The incarnation of the peer's process; 0 if not known.
+    Incarnation incarnationOf(TargetId target) const;
+
+    /// Whether the peer is suspected dead.
+    bool isSuspected(TargetId target) const;
+
+    /// Whether the instance list has said that the peer is gone.
+    bool isListedGone(TargetId target) const;
+
+    /// Whether a message of the peer has come after the given time.
+    bool wasSeenAfter(TargetId target, TimePoint time) const;
+
+private:
+    struct Peer
+    {
+        ConfigurationVersion version;
+        Incarnation incarnation{};
+        std::optional<TimePoint> seenAt;
+        std::optional<TimePoint> loadDeadline;
+        int loadPermille = 0;
+        bool isSuspected = false;
+        bool isListedGone = false;
+    };
+
+    const Peer *find(TargetId target) const;
+
+    std::unordered_map<quint32, Peer> m_peers;
+};
+
+}
--- a/packages/agent/targetagentsettings.h
+++ b/packages/agent/targetagentsettings.h
@@ -47,8 +47,8 @@
     Duration idleFlowTimeout = 300s;
     /// How long the refusal of an opening is remembered.
     Duration refusalMemory = 2s;
-    /// How long a directory entry lives after its latest refresh.
-    Duration directoryRetention = 60s;
+    /// How long a directory entry lives after its latest refresh; longer than the partitions of some minutes that are expected.
+    Duration directoryRetention = 600s;
     /// Time between two refreshes of the directory at the homes.
     Duration directoryRefresh = 10s;
     /// Time before a Register batch is sent again.
@@ -63,6 +63,22 @@
     int heartbeatPeers = 3;
     /// A candidate gets a flow instead of the home if its load is lower by more than this, in permille.
     int loadMarginPermille = 50;
+    /// How long the end of a flow is remembered, so that a late opening does not open it again.
+    Duration endedFlowMemory = 60s;
+    /// How long an agent waits for its target to say whether it holds a flow.
+    Duration probeTimeout = 200ms;
+    /// How long an opening at the target stays unconfirmed before it is sent again.
+    Duration targetOpenTimeout = 100ms;
+    /// How long a target may be silent before its agent declines new flows.
+    Duration targetSilenceLimit = 2s;
+    /// The longest time that requests in progress get to end once the data centre is out.
+    Duration fenceGrace = 3s;
+    /// The shortest time between the begin of a planned stop and its end, for others to notice it.
+    Duration stopLinger = 500ms;
+    /// Packets are refused at least this long after a pause, since older messages may still be queued.
+    Duration holdMinimum = 50ms;
+    /// Packets are refused at most this long after a pause while no peer tells its version.
+    Duration holdLimit = 1s;
     /// The longest gap between two steps that is not a pause.
     Duration pauseLimit = 1s;
 
--- a/packages/fabric/peermessage.h
+++ b/packages/fabric/peermessage.h
@@ -180,7 +180,7 @@
     Hop suspect;
     Incarnation suspectIncarnation{};
     bool isRefuted = false;
-    /// The target beside the agent that saw it.
+    /// The target beside the agent that reports it; 0 once two agents, or an agent and the instance list, agree.
     TargetId reporter{};
 
     bool operator==(const Suspicion &) const = default;
--- a/packages/fabric/tunnelheader.h
+++ b/packages/fabric/tunnelheader.h
@@ -12,6 +12,8 @@
 {
     /// Set in flags by an agent that is still in recovery and may not know all of its flows.
     static constexpr quint8 recoveryFlag = 0x01;
+    /// Set in flags by an agent that stops as planned; its messages do not refute the announcement of its stop.
+    static constexpr quint8 stoppingFlag = 0x02;
 
     /// The version in force at the sender.
     ConfigurationVersion version;
