--- a/packages/operators/iniheading.cpp
+++ b/packages/operators/iniheading.cpp
@@ -10,6 +10,12 @@
     return name.isEmpty() ? kind : kind + QLatin1Char(' ') + name;
 }
 
+bool IniHeading::isName(const QString &text)
+{
+    static const QRegularExpression name(QStringLiteral(R"(\A[A-Za-z0-9][A-Za-z0-9._-]{0,62}\z)"));
+    return name.match(text).hasMatch();
+}
+
 bool IniHeading::isHeadingLine(QByteArrayView trimmedLine)
 {
     return trimmedLine.startsWith('[');
--- a/packages/operators/iniheading.h
+++ b/packages/operators/iniheading.h
@@ -20,6 +20,9 @@
     /// "KIND" or "KIND NAME", with single spaces.
     QString title() const;
 
+    /// Whether the text has the form of a NAME: at most 63 letters, digits, '.', '_' and '-'.
+    static bool isName(const QString &text);
+
     /// Whether the trimmed line opens a heading, well formed or not.
     static bool isHeadingLine(QByteArrayView trimmedLine);
 
--- a/packages/operators/sectionreader.cpp
+++ b/packages/operators/sectionreader.cpp
@@ -33,6 +33,16 @@
     return entry->value;
 }
 
+QString SectionReader::requiredName(const QString &key)
+{
+    QString name = requiredText(key);
+    if (!name.isEmpty() && !IniHeading::isName(name)) {
+        report(key, QStringLiteral("\"%1\" is no name: %2").arg(key, name), QStringLiteral("at most 63 letters, digits, '.', '_' and '-'"));
+        return {};
+    }
+    return name;
+}
+
 QString SectionReader::optionalText(const QString &key)
 {
     const IniEntry *entry = find(key);
--- a/packages/operators/sectionreader.h
+++ b/packages/operators/sectionreader.h
@@ -27,6 +27,9 @@
     /// The text of a key that must be there; empty with a finding if it is missing or empty.
     QString requiredText(const QString &key);
 
+    /// A name, as headings have it, of a key that must be there; empty with a finding otherwise.
+    QString requiredName(const QString &key);
+
     /// The text of a key, empty if it is missing.
     QString optionalText(const QString &key);
 
