--- a/packages/agent/requestrecord.h
+++ b/packages/agent/requestrecord.h
@@ -39,8 +39,6 @@
     bool isIdempotent = false;
     /// Handed over by the owner of the flow: this agent cannot promise that it runs nowhere.
     bool isRetried = false;
-    /// How often the request has been handed to another agent.
-    quint32 handOvers = 0;
     /// Why the request was refused.
     RefusalReason reason = RefusalReason::None;
     /// When the answer becomes worthless.
--- a/packages/agent/requesttable.cpp
+++ b/packages/agent/requesttable.cpp
@@ -11,6 +11,7 @@
 #include <bit>
 #include <chrono>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -82,15 +83,16 @@
 
     // Arrival
     void accept(TimePoint now, FlowRequests &requests, const RequestId &id, RequestRecord &record, const Request &request, AgentActions &actions);
-    void onRepeated(TimePoint now, const RequestId &id, RequestRecord &record, const Request &request, AgentActions &actions);
+    void onRepeated(const RequestId &id, RequestRecord &record, AgentActions &actions);
     void refuseOtherIncarnation(FlowRequests &requests, const RequestId &id, AgentActions &actions);
     void runCopy(TimePoint now, FlowRequests &requests, const RequestId &id, const Request &request, AgentActions &actions);
     bool canEnd(TimePoint now, TimePoint deadline, bool isIdempotent) const;
+    TimePoint retriesFrom(TimePoint now);
 
     // Endings
     void refuse(const RequestId &id, RequestRecord &record, RefusalReason reason, Outcome outcome, AgentActions &actions);
     void shed(TimePoint now, const RequestId &id, RequestRecord &record, AgentActions &actions);
-    void handOver(TimePoint now, const RequestId &id, RequestRecord &record, const QByteArray &body, AgentActions &actions);
+    void handOver(TimePoint now, const RequestId &id, RequestRecord &record, AgentActions &actions);
     void repeatRefusal(const RequestId &id, const RequestRecord &record, AgentActions &actions) const;
     void beginCancel(TimePoint now, TargetSlot &slot, RefusalReason reason, AgentActions &actions) const;
     void detachSlots(const FlowKey &flow);
@@ -124,6 +126,8 @@
     std::size_t answerBytes = 0;
     quint32 slotCount;
     RefusalReason refusalForNew = RefusalReason::None;
+    /// When handed-over requests are first run; set by the first event.
+    std::optional<TimePoint> firstRetryAt;
     bool isTargetJustLost = false;
     bool wasWarm = false;
     quint64 seenColdTurns = 0;
@@ -192,7 +196,7 @@
     finishStep(now, actions);
 }
 
-void RequestTable::Private::onRepeated(TimePoint now, const RequestId &id, RequestRecord &record, const Request &request, AgentActions &actions)
+void RequestTable::Private::onRepeated(const RequestId &id, RequestRecord &record, AgentActions &actions)
 {
     actions.emplace_back(RecordEvent{EventNumber::RequestRepeated, id.flow, id.number, {}});
     switch (record.state) {
@@ -219,10 +223,7 @@
         repeatRefusal(id, record, actions);
         return;
     case RequestState::HandedOver:
-        // The message to the other agent may have been lost. A second copy may run there a second time, so it is charged as well.
-        if (record.deadline > now && budget.tryTake()) {
-            handOver(now, id, record, request.body, actions);
-        }
+        // A second hand-over could reach a third agent: the caller would take parts of two runs for one answer.
         return;
     }
 }
@@ -274,6 +275,14 @@
     return start <= now || start + *serviceTime <= deadline;
 }
 
+TimePoint RequestTable::Private::retriesFrom(TimePoint now)
+{
+    if (!firstRetryAt) {
+        firstRetryAt = now + settings.retrySettling;
+    }
+    return *firstRetryAt;
+}
+
 // Endings
 
 void RequestTable::Private::refuse(const RequestId &id, RequestRecord &record, RefusalReason reason, Outcome outcome, AgentActions &actions)
@@ -292,21 +301,19 @@
 void RequestTable::Private::shed(TimePoint now, const RequestId &id, RequestRecord &record, AgentActions &actions)
 {
     if (record.isIdempotent && !record.isRetried && record.deadline > now && budget.tryTake()) {
-        handOver(now, id, record, record.body, actions);
-        record.body = QByteArray();
+        handOver(now, id, record, actions);
         return;
     }
     refuse(id, record, RefusalReason::Overloaded, Outcome::NotRun, actions);
 }
 
-void RequestTable::Private::handOver(TimePoint now, const RequestId &id, RequestRecord &record, const QByteArray &body, AgentActions &actions)
+void RequestTable::Private::handOver(TimePoint now, const RequestId &id, RequestRecord &record, AgentActions &actions)
 {
-    const FlowRequests *const requests = ownedFlow(id.flow, id.nonce);
-    RP_ASSERT(requests && record.isIdempotent && !record.isRetried);
+    RP_ASSERT(record.isIdempotent && !record.isRetried);
     record.state = RequestState::HandedOver;
-    ++record.handOvers;
     const auto remaining = static_cast<quint32>(std::max<qint64>(1, millisecondsBetween(now, record.deadline).count()));
-    actions.emplace_back(RetryElsewhere{id.flow, Request{id.nonce, id.number, true, remaining, requests->flowIncarnation(), body}});
+    actions.emplace_back(
+        RetryElsewhere{id.flow, Request{id.nonce, id.number, true, remaining, record.flowIncarnation, std::exchange(record.body, QByteArray())}});
 }
 
 void RequestTable::Private::repeatRefusal(const RequestId &id, const RequestRecord &record, AgentActions &actions) const
@@ -494,9 +501,12 @@
 void RequestTable::Private::forgetRetriedFlows(TimePoint now)
 {
     for (auto flow = retriedFlows.begin(); flow != retriedFlows.end();) {
+        if (flow->second.forgetAt > now) {
+            ++flow;
+            continue;
+        }
         auto &records = flow->second.requests.records();
-        const bool isBusy = std::any_of(records.begin(), records.end(), [](const RequestRecord &record) { return record.isInProgress(); });
-        if (isBusy || flow->second.forgetAt > now) {
+        if (std::any_of(records.begin(), records.end(), [](const RequestRecord &record) { return record.isInProgress(); })) {
             ++flow;
             continue;
         }
@@ -510,6 +520,7 @@
 
 void RequestTable::Private::finishStep(TimePoint now, AgentActions &actions)
 {
+    retriesFrom(now);
     deliver(now, actions);
     if (ramp.coldTurns() != seenColdTurns) {
         seenColdTurns = ramp.coldTurns();
@@ -604,7 +615,7 @@
         return;
     }
     if (record) {
-        d->onRepeated(now, id, *record, request, actions);
+        d->onRepeated(id, *record, actions);
         return;
     }
     if (requests->isForgotten(request.number)) {
@@ -623,6 +634,10 @@
         actions.emplace_back(CountDrop{DropReason::UnknownFlow});
         return;
     }
+    if (now < d->retriesFrom(now)) {
+        actions.emplace_back(SendToCaller{flow, Refused{request.nonce, request.number, RefusalReason::Recovering, Outcome::OutcomeUnknown}});
+        return;
+    }
     auto found = d->retriedFlows.find(flow);
     if (found != d->retriedFlows.end() && found->second.requests.nonce() != request.nonce) {
         actions.emplace_back(CountDrop{DropReason::UnknownFlow});
@@ -635,11 +650,13 @@
         }
         found = d->retriedFlows.emplace(flow, RetriedFlow{FlowRequests(request.nonce, request.flowIncarnation), now}).first;
     }
-    found->second.forgetAt = now + d->settings.retriedFlowRetention;
+    // Kept beyond the deadline of every request: by then the caller takes no answer of a copy that runs again.
+    const TimePoint deadline = now + std::chrono::milliseconds(request.remainingMilliseconds);
+    found->second.forgetAt = std::max(found->second.forgetAt, deadline + d->settings.retriedFlowRetention);
     FlowRequests &requests = found->second.requests;
     const RequestId id{flow, request.nonce, request.number};
     if (RequestRecord *const record = requests.find(request.number)) {
-        d->onRepeated(now, id, *record, request, actions);
+        d->onRepeated(id, *record, actions);
         return;
     }
     if (requests.isForgotten(request.number)) {
@@ -655,8 +672,7 @@
 {
     const RequestId id{flow, nonce, number};
     RequestRecord *const record = d->recordOf(id);
-    // After a second hand-over an earlier one may have reached another agent.
-    if (!record || record->state != RequestState::HandedOver || record->handOvers > 1) {
+    if (!record || record->state != RequestState::HandedOver) {
         return;
     }
     d->refuse(id, *record, RefusalReason::Overloaded, Outcome::NotRun, actions);
--- a/packages/agent/requesttablesettings.h
+++ b/packages/agent/requesttablesettings.h
@@ -47,8 +47,12 @@
     Duration slotRelease = 2s;
     /// Flows of other owners with handed-over requests that are remembered.
     std::size_t retriedFlows = 256;
-    /// How long they are remembered after their latest request.
+    /// How long they are remembered after the latest deadline of their requests.
     Duration retriedFlowRetention = 10s;
+    /// How long after its first event a table runs no handed-over requests; the longest time that a datagram may be on its way.
+    ///
+    /// An earlier process of the agent may have run copies of them, and the caller would take parts of two runs for one answer.
+    Duration retrySettling = 10s;
     /// How often the unacknowledged parts of a handed-over request are sent again; acknowledgements go to the owner.
     quint32 retriedAnswerRepeats = 3;
     /// Time constant of the mean load.
--- a/tests/agent/requesttabletest.cpp
+++ b/tests/agent/requesttabletest.cpp
@@ -394,6 +394,11 @@
 TEST_F(RequestTableTest, RetriedRequests)
 {
     const FlowKey foreign{{1, 9}, {2, 2}, 17};
+    table.onRetriedRequest(now, foreign, Request{9, 1, true, 1000, Incarnation{5}, {}}, actions);
+    EXPECT_EQ(toCaller<Refused>(), (std::vector<Refused>{{9, 1, RefusalReason::Recovering, Outcome::OutcomeUnknown}}));
+    EXPECT_TRUE(toTarget<TargetRequest>().empty());
+    tick(10s);
+    actions.clear();
     table.onRetriedRequest(now, foreign, Request{9, 1, false, 1000, Incarnation{5}, {}}, actions);
     EXPECT_TRUE(toTarget<TargetRequest>().empty());
     for (quint64 number = 1; number <= 4; ++number) {
