Add the spread of the configuration

Cause: every node needs the operators' document within 4 s although the platform allows 2,000 calls a second, may be down or stale, and nothing of the system writes shared state.

Ruled out: notices that carry an instance list revision, since the body VersionNotice is shared with other packages; the list travels with the answers to pulls instead. A back-off of at most 30 s for nodes that hear no peer: 21,800 of them come too near the platform's limit, so that they draw from 60 s.

Baselines: acceptsAnyVersion, everyNodeReads and usesPeers = false. PullDocument has the field instanceRevision, ReadPlatform the field subject.

Conclusion: the tests cover a stale platform, equal numbers, lost readers, three hours without the platform, regions apart, mass restart, failing pulls, damaged deltas and a document over a megabyte.

--- a/packages/platform/documentmanifest.cpp
+++ b/packages/platform/documentmanifest.cpp
@@ -51,7 +51,7 @@
     DocumentManifest manifest{*version, *digest, {}};
     qsizetype total = 0;
     const QJsonArray parts = object.value(QLatin1String("parts")).toArray();
-    for (const QJsonValue &entry : parts) {
+    for (const auto &entry : parts) {
         const std::optional<DocumentPart> part = partFromJson(entry.toObject());
         if (!part) {
             return std::nullopt;
--- a/packages/platform/instancelistcodec.cpp
+++ b/packages/platform/instancelistcodec.cpp
@@ -63,7 +63,7 @@
     }
     InstanceList instances;
     const QJsonArray entries = document.array();
-    for (const QJsonValue &entry : entries) {
+    for (const auto &entry : entries) {
         const std::optional<Instance> instance = instanceFromJson(entry.toObject());
         if (!instance) {
             m_lastError = QStringLiteral("entry %1 of the instance list is malformed").arg(instances.size());
--- a/packages/platform/platformclient.cpp
+++ b/packages/platform/platformclient.cpp
@@ -114,7 +114,7 @@
 }
 
 PlatformClient::PlatformClient(const PlatformClientSettings &settings)
-    : d(std::make_unique<Private>(settings))
+    : m_d(std::make_unique<Private>(settings))
 {
 }
 
@@ -122,7 +122,7 @@
 
 std::optional<PlatformValueAnswer> PlatformClient::value(const QString &name, quint64 afterRevision)
 {
-    return d->get(QStringLiteral("/value/") + QString::fromLatin1(QUrl::toPercentEncoding(name)), afterRevision, d->settings.timeout);
+    return m_d->get(QStringLiteral("/value/") + QString::fromLatin1(QUrl::toPercentEncoding(name)), afterRevision, m_d->settings.timeout);
 }
 
 std::optional<PlatformValueAnswer> PlatformClient::document(quint64 afterRevision)
@@ -133,24 +133,24 @@
     }
     DocumentAssembler assembler;
     if (!assembler.start(answer->value)) {
-        d->lastError = assembler.lastError();
+        m_d->lastError = assembler.lastError();
         return std::nullopt;
     }
     const QStringList names = assembler.missingParts();
     for (const QString &name : names) {
         const QString path = QStringLiteral("/value/") + QString::fromLatin1(QUrl::toPercentEncoding(name));
-        const std::optional<PlatformValueAnswer> part = d->get(path, 0, d->settings.partTimeout);
+        const std::optional<PlatformValueAnswer> part = m_d->get(path, 0, m_d->settings.partTimeout);
         if (!part) {
             return std::nullopt;
         }
         if (!assembler.addPart(name, part->value)) {
-            d->lastError = assembler.lastError();
+            m_d->lastError = assembler.lastError();
             return std::nullopt;
         }
     }
     const std::optional<QByteArray> text = assembler.document();
     if (!text) {
-        d->lastError = assembler.lastError();
+        m_d->lastError = assembler.lastError();
         return std::nullopt;
     }
     answer->value = *text;
@@ -159,7 +159,7 @@
 
 std::optional<PlatformInstancesAnswer> PlatformClient::instances(quint64 afterRevision)
 {
-    const std::optional<PlatformValueAnswer> answer = d->get(QStringLiteral("/instances"), afterRevision, d->settings.timeout);
+    const std::optional<PlatformValueAnswer> answer = m_d->get(QStringLiteral("/instances"), afterRevision, m_d->settings.timeout);
     if (!answer) {
         return std::nullopt;
     }
@@ -169,7 +169,7 @@
     InstanceListCodec codec;
     const std::optional<InstanceList> list = codec.fromJson(answer->value);
     if (!list) {
-        d->lastError = codec.lastError();
+        m_d->lastError = codec.lastError();
         return std::nullopt;
     }
     return PlatformInstancesAnswer{answer->revision, true, *list};
@@ -177,14 +177,14 @@
 
 void PlatformClient::cancel()
 {
-    d->isCancelled = true;
+    m_d->isCancelled = true;
     // A queued call, since quit() before exec() would be lost while the calling thread enters the loop.
-    QMetaObject::invokeMethod(&d->loop, &QEventLoop::quit, Qt::QueuedConnection);
+    QMetaObject::invokeMethod(&m_d->loop, &QEventLoop::quit, Qt::QueuedConnection);
 }
 
 const QString &PlatformClient::lastError() const
 {
-    return d->lastError;
+    return m_d->lastError;
 }
 
 }
--- a/packages/spread/spreadaction.h
+++ b/packages/spread/spreadaction.h
@@ -28,15 +28,25 @@
 {
     Endpoint admin;
     ConfigurationVersion from;
+    /// The revision of the instance list at hand; the peer adds a later list to its answer.
+    quint64 instanceRevision = 0;
 
     bool operator==(const PullDocument &) const = default;
 };
 
-/// Start or go on reading and watching the platform.
+/// What a call to the platform reads.
+enum class PlatformSubject : quint8 {
+    Document,
+    Instances,
+};
+
+/// Make one call to the platform. It ends with onPlatformDocument(), onInstanceList(), onPlatformUnchanged() or
+/// onPlatformFailure(); there is at most one call for each subject at a time.
 struct ReadPlatform
 {
-    /// The version that the platform gave last, which a watch waits to change.
+    /// The revision that the platform gave last, which the call waits to change; 0 asks for an answer at once.
     quint64 afterRevision = 0;
+    PlatformSubject subject = PlatformSubject::Document;
 
     bool operator==(const ReadPlatform &) const = default;
 };
--- a/packages/spread/spreadnodesettings.h
+++ b/packages/spread/spreadnodesettings.h
@@ -14,12 +14,12 @@
 struct SpreadNodeSettings
 {
     /// Name of this instance in the instance list.
-    QString name;
-    QString dataCentre;
+    QString name{};
+    QString dataCentre{};
     /// Where this node serves documents.
-    Endpoint admin;
+    Endpoint admin{};
     /// Where the tunnel socket of this node listens.
-    Endpoint tunnel;
+    Endpoint tunnel{};
     /// Seed of the random numbers that the decisions draw.
     quint64 seed = 1;
 
@@ -34,6 +34,28 @@
     /// Bounds of the randomised back-off of platform calls.
     Duration backoffMinimum = 200ms;
     Duration backoffMaximum = 30s;
+    /// Bound of the random delay of the first call of a node that starts without an instance list. 21,800 processes
+    /// that start together make 1,090 calls a second at first, and fewer as soon as some of them tell the others.
+    Duration startSpread = 20s;
+    /// Bound of the random delay between calls of a node that hears no peer. If no node hears another, 21,800 make
+    /// 727 calls a second; the 30 s of the readers' back-off would be too near the platform's limit.
+    Duration aloneInterval = 60s;
+    /// The longest wait for the end of a call to the platform, beyond the client's own limit of 40 s.
+    Duration platformTimeout = 45s;
+    /// The shortest time between two calls for one subject, in case a faulty platform ends every watch at once.
+    Duration platformPause = 200ms;
+    /// The longest wait for a peer's answer to the first pull; doubled after each failure in a row up to 16 times.
+    Duration pullTimeout = 2s;
+    /// Time after which a second peer is asked while the first has not answered.
+    Duration pullHedge = 300ms;
+    /// Time between two comparisons of the instance list with a random peer by nodes that do not read it.
+    Duration instanceInterval = 60s;
+    /// Answers a second to notices of one peer.
+    int answersPerSecond = 10;
+    /// A longer time between two ticks is a pause of the process.
+    Duration pauseLimit = 1s;
+    /// The longest wait for a comparison after a pause.
+    Duration pauseHold = 1s;
     /// Versions for which a difference can be given.
     std::size_t deltaHistory = 32;
     /// Peers to compare versions with before serving.
--- /dev/null
+++ b/packages/spread/spreadstrategy.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "platform/readerelection.h"
+#include "spread/configurationstore.h"
+#include "spread/instancesnapshot.h"
+#include "spread/spreadnodesettings.h"
+
+#include <memory>
+
+namespace Rattanpick
+{
+
+/// Whether a node reads and watches the platform under the instance list.
+using ReadRule = bool (*)(const InstanceList &instances, const SpreadNodeSettings &settings);
+
+/// The rule of the system: the elected readers of each data centre.
+bool electedNodesRead(const InstanceList &instances, const SpreadNodeSettings &settings);
+
+/// Baseline for measurements: every node by itself.
+bool everyNodeReads(const InstanceList &instances, const SpreadNodeSettings &settings);
+
+/// The mechanisms of a SpreadNode that tests and measurements replace.
+struct SpreadStrategy
+{
+    DocumentParser parser{};
+    AcceptanceRule accepts = acceptsHigherVersion;
+    ReadRule reads = electedNodesRead;
+    /// Whether the node sends notices to peers and pulls from them; false is the baseline without spread.
+    bool usesPeers = true;
+    std::shared_ptr<InstanceSnapshotFactory> snapshots = std::make_shared<InstanceSnapshotFactory>();
+};
+
+}
--- /dev/null
+++ b/tests/spread/spreadnodetest.cpp
@@ -0,0 +1,252 @@
+#include <proof/spread/spreadfleet.h>
+
+#include <gtest/gtest.h>
+
+using namespace Rattanpick;
+using Proof::SpreadFleet;
+using Proof::SpreadFleetSettings;
+
+namespace
+{
+
+constexpr Duration target = 4s;
+
+/// A fleet that has a document with the number 1 in force everywhere.
+struct RunningFleet : SpreadFleet
+{
+    explicit RunningFleet(const SpreadFleetSettings &settings)
+        : SpreadFleet(settings)
+    {
+        const QByteArray text = makeDocument(1);
+        setDocument(text);
+        startAll();
+        EXPECT_TRUE(runUntil([&] { return isInForceEverywhere(text) && areAllReady(); }, 60s));
+        run(5s);
+        resetMeasures();
+    }
+
+    std::optional<Duration> runUntilInForce(const QByteArray &text, Duration limit = target)
+    {
+        return runUntil([&] { return isInForceEverywhere(text); }, limit);
+    }
+};
+
+SpreadFleetSettings baseline()
+{
+    SpreadFleetSettings settings;
+    settings.strategy.reads = everyNodeReads;
+    settings.strategy.usesPeers = false;
+    return settings;
+}
+
+}
+
+// Guards against a change that takes longer than 4 s, with messages lost and nodes paused.
+TEST(SpreadNodeTest, ChangeIsInForceWithinFourSeconds)
+{
+    for (const double loss : {0.0, 0.05, 0.2}) {
+        RunningFleet fleet({.nodes = 280});
+        fleet.setLoss(loss);
+        fleet.pause(0.05, 10s);
+        const QByteArray text = SpreadFleet::makeDocument(2);
+        fleet.setDocument(text);
+        EXPECT_TRUE(fleet.runUntilInForce(text)) << loss;
+        fleet.run(20s);
+        EXPECT_TRUE(fleet.isInForceEverywhere(text)) << "paused nodes never learned the change";
+    }
+}
+
+// Guards against a joining node that takes a stale platform's document as the latest.
+TEST(SpreadNodeTest, NoRevertWhenANodeJoinsWhileThePlatformIsStale)
+{
+    RunningFleet fleet({.nodes = 60});
+    const QByteArray text = SpreadFleet::makeDocument(5);
+    fleet.setDocument(text);
+    ASSERT_TRUE(fleet.runUntilInForce(text));
+    fleet.setDocument(SpreadFleet::makeDocument(1));
+    for (int node = 0; node < 60; node += 7) {
+        fleet.start(node);
+    }
+    ASSERT_TRUE(fleet.runUntil([&] { return fleet.areAllReady(); }, 60s));
+    EXPECT_TRUE(fleet.isInForceEverywhere(text)) << "a node was ready with an old version";
+    EXPECT_EQ(fleet.measures().reverts, 0U);
+}
+
+// The baseline shows what the rule guards against: without it the stale platform reverts every node.
+TEST(SpreadNodeTest, AcceptAnyBaselineReverts)
+{
+    SpreadFleetSettings settings = baseline();
+    settings.nodes = 12;
+    settings.strategy.accepts = acceptsAnyVersion;
+    SpreadFleet fleet(settings);
+    fleet.setDocument(SpreadFleet::makeDocument(2));
+    fleet.startAll();
+    fleet.run(2s);
+    fleet.setDocument(SpreadFleet::makeDocument(1));
+    fleet.run(2s);
+    EXPECT_EQ(fleet.measures().reverts, 12U);
+}
+
+// Guards against nodes that keep different documents with one number.
+TEST(SpreadNodeTest, TwoDocumentsWithOneNumberConverge)
+{
+    for (quint64 seed = 1; seed <= 10; ++seed) {
+        RunningFleet fleet({.nodes = 60, .seed = seed});
+        const bool isSwapped = seed % 2 == 0;
+        fleet.setDocument(0, SpreadFleet::makeDocument(2, isSwapped ? "b" : "a"));
+        fleet.setDocument(1, SpreadFleet::makeDocument(2, isSwapped ? "a" : "b"));
+        EXPECT_TRUE(fleet.runUntil([&] { return fleet.isConverged() && !fleet.isInForceEverywhere(SpreadFleet::makeDocument(1)); }, target)) << seed;
+        EXPECT_EQ(fleet.measures().reverts, 0U);
+    }
+}
+
+// Guards against a data centre that learns nothing any more once its readers are gone and the list still names them.
+TEST(SpreadNodeTest, LossOfAllReadersOfADataCentre)
+{
+    RunningFleet fleet({.nodes = 60});
+    fleet.stopReaders(0);
+    const QByteArray text = SpreadFleet::makeDocument(2);
+    fleet.setDocument(text);
+    EXPECT_TRUE(fleet.runUntilInForce(text));
+}
+
+// Guards against nodes that need the platform to go on, to join, or to learn of a change after its return.
+TEST(SpreadNodeTest, PlatformAwayForHours)
+{
+    RunningFleet fleet({.nodes = 30, .tickInterval = 500ms});
+    for (int region = 0; region < SpreadFleet::regionCount; ++region) {
+        fleet.setPlatformAnswers(region, false);
+    }
+    fleet.run(3h);
+    EXPECT_TRUE(fleet.isInForceEverywhere(SpreadFleet::makeDocument(1)));
+    // Each reader calls with a back-off of 15 s on average for each of two subjects.
+    EXPECT_LT(fleet.measures().platformCalls, 18U * 2U * 3U * 3600U / 10U);
+    fleet.start(4);
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.areAllReady(); }, 10s)) << "a node cannot join without the platform";
+    const QByteArray text = SpreadFleet::makeDocument(2);
+    fleet.setDocument(text);
+    for (int region = 0; region < SpreadFleet::regionCount; ++region) {
+        fleet.setPlatformAnswers(region, true);
+    }
+    EXPECT_TRUE(fleet.runUntilInForce(text, 34s)) << "the back-off limit of 30 s and the spread";
+}
+
+// Guards against a partition after which the regions keep different versions.
+TEST(SpreadNodeTest, RegionsApartWhileEachGetsChanges)
+{
+    RunningFleet fleet({.nodes = 60});
+    fleet.setRegionsConnected(false);
+    for (quint64 change = 1; change <= 10; ++change) {
+        fleet.setDocument(0, SpreadFleet::makeDocument(2 * change));
+        fleet.setDocument(1, SpreadFleet::makeDocument(2 * change + 1));
+        fleet.run(30s);
+    }
+    EXPECT_FALSE(fleet.isConverged());
+    fleet.setRegionsConnected(true);
+    EXPECT_TRUE(fleet.runUntilInForce(SpreadFleet::makeDocument(21)));
+    EXPECT_EQ(fleet.measures().reverts, 0U);
+}
+
+// Guards against a stampede on the platform when all processes start at once, and when a silent platform returns.
+TEST(SpreadNodeTest, NoStampedeAtMassRestartAndReturn)
+{
+    SpreadFleet fleet({.nodes = 5000});
+    const QByteArray text = SpreadFleet::makeDocument(1);
+    fleet.setDocument(text);
+    for (int region = 0; region < SpreadFleet::regionCount; ++region) {
+        fleet.setPlatformAnswers(region, false);
+    }
+    fleet.startAll();
+    fleet.run(30s);
+    for (int region = 0; region < SpreadFleet::regionCount; ++region) {
+        fleet.setPlatformAnswers(region, true);
+    }
+    EXPECT_TRUE(fleet.runUntil([&] { return fleet.isInForceEverywhere(text); }, 10s));
+    // Scaled from the limit of 2,000 calls a second for 21,800 processes.
+    EXPECT_LT(fleet.measures().platformCallsPeak, 2000U * 5000U / 21800U);
+}
+
+// The baseline shows what readers guard against: as many waiting calls as nodes.
+TEST(SpreadNodeTest, EveryNodeReadsBaselineOverloadsThePlatform)
+{
+    SpreadFleetSettings settings = baseline();
+    settings.nodes = 5000;
+    SpreadFleet fleet(settings);
+    fleet.setDocument(SpreadFleet::makeDocument(1));
+    fleet.startAll();
+    fleet.run(2s);
+    EXPECT_GT(fleet.measures().platformCallsPeak, 2000U);
+}
+
+// Guards against a node that gives up, or asks the same peer again and again, when pulls fail.
+TEST(SpreadNodeTest, FailedPullsAreRetriedElsewhere)
+{
+    RunningFleet fleet({.nodes = 60});
+    fleet.setAnswerFilter([](int server, const QByteArray &answer) { return server % 2 == 0 ? std::nullopt : std::optional(answer); });
+    const QByteArray text = SpreadFleet::makeDocument(2);
+    fleet.setDocument(text);
+    EXPECT_TRUE(fleet.runUntilInForce(text));
+}
+
+// Guards against a damaged delta that is taken as the document or stops the spread.
+TEST(SpreadNodeTest, DamagedDeltaFallsBackToTheWhole)
+{
+    RunningFleet fleet({.nodes = 60});
+    int wholes = 0;
+    fleet.setAnswerFilter([&wholes](int, const QByteArray &answer) {
+        PeerAnswer decoded = *PeerAnswer::fromBytes(answer);
+        if (decoded.kind == PeerAnswerKind::Delta) {
+            decoded.body[decoded.body.size() / 2] = static_cast<char>(~decoded.body[decoded.body.size() / 2]);
+        }
+        wholes += decoded.kind == PeerAnswerKind::Whole ? 1 : 0;
+        return decoded.toBytes();
+    });
+    const QByteArray text = SpreadFleet::makeDocument(2);
+    fleet.setDocument(text);
+    EXPECT_TRUE(fleet.runUntilInForce(text));
+    EXPECT_GE(wholes, 40);
+}
+
+// Guards against a document over a megabyte that fits the platform only in parts and does not spread.
+TEST(SpreadNodeTest, SpreadsALargeDocument)
+{
+    RunningFleet fleet({.nodes = 30});
+    QByteArray text = SpreadFleet::makeDocument(2);
+    for (int index = 0; index < 40'000; ++index) {
+        text += "[target large-" + QByteArray::number(index) + "]\nweight = 100\n";
+    }
+    ASSERT_GT(text.size(), 1'000'000);
+    fleet.setDocument(text);
+    EXPECT_TRUE(fleet.runUntilInForce(text));
+}
+
+// Guards against a node that serves after a pause with what it knew before.
+TEST(SpreadNodeTest, NotReadyAfterAPauseUntilCompared)
+{
+    RunningFleet fleet({.nodes = 30});
+    SpreadNode &node = fleet.node(3);
+    EXPECT_TRUE(node.isReady(fleet.now()));
+    EXPECT_FALSE(node.isReady(fleet.now() + 3s));
+    fleet.pause(1.0, 3s);
+    fleet.run(3s + 300ms);
+    EXPECT_TRUE(node.isReady(fleet.now()));
+}
+
+// Guards against two pulls from one peer at the same time.
+TEST(SpreadNodeTest, OnePullAtATimeForEachPeer)
+{
+    SpreadStrategy strategy{.parser = SpreadFleet::parse};
+    SpreadNode node({.name = QStringLiteral("a"), .dataCentre = QStringLiteral("d")}, strategy, TimePoint{1h});
+    const Endpoint tunnel{1, 1};
+    const Endpoint admin{1, 2};
+    int pulls = 0;
+    for (int step = 0; step < 15; ++step) {
+        SpreadActions actions;
+        node.onPeerVersion(TimePoint{1h} + step * 100ms, tunnel, {7, 7}, VersionNotice{admin, false}, actions);
+        node.onTick(TimePoint{1h} + step * 100ms, actions);
+        for (const SpreadAction &action : actions) {
+            pulls += std::holds_alternative<PullDocument>(action) ? 1 : 0;
+        }
+    }
+    EXPECT_EQ(pulls, 1);
+}
