Add the stand-in for the platform

Cause: the operator's test and the daemons need a configuration service that can be edited, stopped, made stale, slowed down and cut off for some callers.

--- a/proof/spread/spreadfleet.cpp
+++ b/proof/spread/spreadfleet.cpp
@@ -270,7 +270,7 @@
     const TimePoint end = m_now + time;
     while (!m_events.empty() && m_events.front().time <= end) {
         std::ranges::pop_heap(m_events, Event::isLater);
-        const Event event = std::move(m_events.back());
+        const Event event = m_events.back();
         m_events.pop_back();
         m_now = event.time;
         deliver(event);
@@ -294,7 +294,7 @@
 {
     event.time = time;
     event.sequence = ++m_sequence;
-    m_events.push_back(std::move(event));
+    m_events.push_back(event);
     std::ranges::push_heap(m_events, Event::isLater);
 }
 
--- /dev/null
+++ b/standins/standinplatform.h
@@ -0,0 +1,7 @@
+#pragma once
+
+#include <QStringList>
+
+/// Runs the stand-in for the platform until SIGINT or SIGTERM; @p arguments without the program's name. Returns the
+/// exit status.
+int runPlatformStandin(const QStringList &arguments);
