Ask every peer that is behind when a version was skipped

An agent that went from version 1 to 3 did not know the table of version 2, so it did not ask the home under that table. Ruled out: asking all peers at every change, which would delay all new flows while any change spreads; numbers that rise by one prove that nothing was skipped. Change: after a gap, a start or two documents with one number, up to 16 peers behind that version are asked.

--- a/packages/agent/openingplacer.cpp
+++ b/packages/agent/openingplacer.cpp
@@ -67,11 +67,9 @@
     return found != m_refusals.end() ? found->second.reason : RefusalReason::None;
 }
 
-void OpeningPlacer::setFirstVersion(const ConfigurationVersion &version)
+void OpeningPlacer::setCompleteSince(const ConfigurationVersion &version)
 {
-    if (!m_firstVersion) {
-        m_firstVersion = version;
-    }
+    m_completeSince = version;
 }
 
 // Messages
@@ -181,9 +179,12 @@
         }
         append(generation.table->candidatesOf(flow)[0], m_context.version());
     }
-    // A process does not know the tables before its first version, so any peer that has not shown it may be an earlier home.
+    // Versions that this process skipped, or had before it started, may have made any peer that is behind a home.
     for (const Target *target : m_context.configuration()->targetsOf(m_context.settings().service)) {
-        append({target->id, target->agent}, m_firstVersion.value_or(ConfigurationVersion{}));
+        if (homes.size() >= unknownHomeLimit) {
+            break;
+        }
+        append({target->id, target->agent}, m_completeSince);
     }
     return homes;
 }
--- a/packages/agent/openingplacer.h
+++ b/packages/agent/openingplacer.h
@@ -5,7 +5,6 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -20,6 +19,10 @@
 class OpeningPlacer
 {
 public:
+    /// The most peers asked because of versions that are unknown here. Beyond, an opening repeated under
+    /// an unknown version may find two owners; requests stay bound to the one that the caller knows.
+    static constexpr std::size_t unknownHomeLimit = 16;
+
     /// Builds a placer without pending openings.
     OpeningPlacer(AgentContext &context, PlacementHost &host);
 
@@ -56,8 +59,8 @@
         return m_pending.size();
     }
 
-    /// Tells the first version that this process had; earlier tables are unknown to it. Later calls change nothing.
-    void setFirstVersion(const ConfigurationVersion &version);
+    /// Tells that tables earlier than this version may be unknown here: a peer behind it may be an earlier home.
+    void setCompleteSince(const ConfigurationVersion &version);
 
 private:
     using Key = std::pair<FlowKey, quint64>;
@@ -95,7 +98,7 @@
     PlacementHost &m_host;
     std::map<Key, Pending> m_pending;
     std::map<Key, Refusal> m_refusals;
-    std::optional<ConfigurationVersion> m_firstVersion;
+    ConfigurationVersion m_completeSince;
 };
 
 }
--- a/packages/agent/targetagent.cpp
+++ b/packages/agent/targetagent.cpp
@@ -272,6 +272,11 @@
 {
     RP_ASSERT(configuration != nullptr);
     RP_ASSERT(configuration->version() > m_context.version());
+    // Numbers that rise by one leave no version out; after a gap the tables between are unknown.
+    const bool isNext = configuration->version().number == m_context.version().number + 1;
+    if (!isNext) {
+        m_placer.setCompleteSince(configuration->version());
+    }
     m_context.tables().applyConfiguration(configuration);
 
     const Target *target = configuration->findTarget(m_context.settings().target);
@@ -284,7 +289,6 @@
 
     m_detector.recompute(now);
     m_recovery.begin(now, actions);
-    m_placer.setFirstVersion(configuration->version());
     m_registrar.recompute(now, m_flows);
     updateFence(now, actions);
     updateRefusals();
@@ -893,6 +897,10 @@
     if (d->m_holdDeadline && now >= *d->m_holdMinimumDeadline && header.version <= d->m_context.version()) {
         d->m_holdDeadline.reset();
     }
+    if (header.version.number == d->m_context.version().number && header.version.digest != d->m_context.version().digest) {
+        // Two documents with one number: either may be in force somewhere.
+        d->m_placer.setCompleteSince(d->m_context.version());
+    }
     if (header.version > d->m_context.version() && (!d->m_fetchDeadline || now >= *d->m_fetchDeadline)) {
         d->m_fetchDeadline = now + fetchInterval;
         actions.emplace_back(FetchConfiguration{header.senderEndpoint});
