Add the daemon and the stand-ins for fabric, target and callers

Cause: the decision objects need processes around them, and the processes need an outside to meet. Ruled out: QUdpSocket on the data path, since it reads one datagram for each system call and needs an event loop in its thread; UdpSocket takes batches by recvmmsg. Change: rattanpickd with a thread for each duty (receive, decide, send, configure, platform, pulls, admin) joined by bounded rings; standin with the subcommands fabric, target and caller.

--- /dev/null
+++ b/apps/rattanpickd/configurationduty.cpp
@@ -0,0 +1,238 @@
+#include "configurationduty.h"
+
+#include "operators/adminclient.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+constexpr Duration stepInterval = 50ms;
+/// A pull may be hedged while the first peer does not answer.
+constexpr int pullWorkers = 2;
+/// Time between two rounds of asking the seed peers while no configuration is at hand.
+constexpr Duration seedInterval = 2s;
+
+SpreadNodeSettings nodeSettings(const DaemonContext &context)
+{
+    SpreadNodeSettings settings;
+    settings.name = context.settings.name;
+    settings.dataCentre = context.settings.dataCentre;
+    settings.admin = context.settings.admin;
+    settings.tunnel = context.settings.tunnel;
+    settings.seed = static_cast<quint64>(context.incarnation);
+    return settings;
+}
+
+PlatformClientSettings clientSettings(const DaemonSettings &daemonSettings)
+{
+    PlatformClientSettings settings;
+    settings.endpoints = daemonSettings.platform;
+    settings.caller = daemonSettings.name;
+    return settings;
+}
+
+}
+
+ConfigurationDuty::ConfigurationDuty(DaemonContext &context, const QByteArray &startDocument)
+    : m_context(context)
+    , m_node(nodeSettings(context), Clock::now())
+{
+    const PlatformClientSettings settings = clientSettings(context.settings);
+    m_documentWorker = std::make_unique<DocumentWorker>(
+        [this, settings]() -> DocumentWorker::Call {
+            return [client = m_documentClient.make(settings)](const PlatformJob &job) {
+                auto answer = client->document(job.afterRevision);
+                return PlatformResult<PlatformValueAnswer>{std::move(answer), client->lastError()};
+            };
+        },
+        context.configurationWakeup);
+    m_instancesWorker = std::make_unique<InstancesWorker>(
+        [this, settings]() -> InstancesWorker::Call {
+            return [client = m_instancesClient.make(settings)](const PlatformJob &job) {
+                auto answer = client->instances(job.afterRevision);
+                return PlatformResult<PlatformInstancesAnswer>{std::move(answer), client->lastError()};
+            };
+        },
+        context.configurationWakeup);
+    for (int count = 0; count < pullWorkers; ++count) {
+        m_pullWorkers.push_back(std::make_unique<PullWorker>(
+            []() -> PullWorker::Call {
+                return [](const PullJob &job) {
+                    return PullResult{job.admin, AdminClient({.server = job.admin}).documentDelta(job.from)};
+                };
+            },
+            context.configurationWakeup));
+    }
+    if (!startDocument.isEmpty()) {
+        m_node.onPlatformDocument(Clock::now(), 0, startDocument, m_actions);
+        carryOut(Clock::now());
+    }
+}
+
+ConfigurationDuty::~ConfigurationDuty()
+{
+    m_documentClient.cancel();
+    m_instancesClient.cancel();
+}
+
+void ConfigurationDuty::run()
+{
+    while (!m_context.isEnding) {
+        m_context.configurationWakeup.arm();
+        step(Clock::now());
+        m_context.configurationWakeup.wait(stepInterval);
+    }
+    m_documentClient.cancel();
+    m_instancesClient.cancel();
+}
+
+std::optional<QByteArray> ConfigurationDuty::documentDelta(const ConfigurationVersion &from) const
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_node.configuration() == nullptr) {
+        return std::nullopt;
+    }
+    return m_node.documentDelta(from);
+}
+
+QJsonObject ConfigurationDuty::status() const
+{
+    const std::scoped_lock lock(m_mutex);
+    const ConfigurationPointer configuration = m_node.configuration();
+    return {{QStringLiteral("version"), configuration != nullptr ? configuration->version().toString() : QString()},
+            {QStringLiteral("ready"), m_node.isReady(Clock::now())},
+            {QStringLiteral("reader"), m_node.isReader()},
+            {QStringLiteral("instances"), m_node.instances().size()}};
+}
+
+void ConfigurationDuty::step(TimePoint now)
+{
+    const std::scoped_lock lock(m_mutex);
+    while (std::optional<PeerVersion> told = m_context.versions.pop()) {
+        m_node.onPeerVersion(now, told->tunnel, told->version, told->notice, m_actions);
+    }
+    takePlatformAnswers(now);
+    takePulls(now);
+    m_node.onTick(now, m_actions);
+    askSeeds(now);
+    carryOut(now);
+    handOver(now);
+}
+
+void ConfigurationDuty::takePlatformAnswers(TimePoint now)
+{
+    while (auto result = m_documentWorker->take()) {
+        if (!result->answer) {
+            m_node.onPlatformFailure(now, result->error, m_actions, PlatformSubject::Document);
+        } else if (!result->answer->isChanged) {
+            m_node.onPlatformUnchanged(now, PlatformSubject::Document, m_actions);
+        } else {
+            m_node.onPlatformDocument(now, result->answer->revision, result->answer->value, m_actions);
+        }
+    }
+    while (auto result = m_instancesWorker->take()) {
+        if (!result->answer) {
+            m_node.onPlatformFailure(now, result->error, m_actions, PlatformSubject::Instances);
+        } else if (!result->answer->isChanged) {
+            m_node.onPlatformUnchanged(now, PlatformSubject::Instances, m_actions);
+        } else {
+            m_node.onInstanceList(now, result->answer->instances, m_actions, result->answer->revision);
+        }
+    }
+}
+
+void ConfigurationDuty::takePulls(TimePoint now)
+{
+    for (const auto &worker : m_pullWorkers) {
+        while (std::optional<PullResult> result = worker->take()) {
+            m_node.onPulledDocument(now, result->admin, result->answer, m_actions);
+        }
+    }
+}
+
+void ConfigurationDuty::carryOut(TimePoint now)
+{
+    SpreadActions actions;
+    std::swap(actions, m_actions);
+    for (const SpreadAction &action : actions) {
+        if (const auto *notice = std::get_if<SendVersionNotice>(&action)) {
+            sendNotice(*notice);
+        } else if (const auto *pulled = std::get_if<PullDocument>(&action)) {
+            pull(pulled->admin, pulled->from);
+        } else if (const auto *read = std::get_if<ReadPlatform>(&action)) {
+            readPlatform(now, *read);
+        } else if (const auto *event = std::get_if<RecordSpreadEvent>(&action)) {
+            m_context.log.record(event->number, event->detail);
+        }
+        // Adopt is followed by handOver(), which also waits until the node may serve.
+    }
+}
+
+void ConfigurationDuty::askSeeds(TimePoint now)
+{
+    if (m_node.configuration() != nullptr || now < m_seedDeadline) {
+        return;
+    }
+    m_seedDeadline = now + seedInterval;
+    for (const Endpoint &seed : m_context.settings.seedPeers) {
+        pull(seed, {});
+    }
+}
+
+void ConfigurationDuty::pull(const Endpoint &admin, const ConfigurationVersion &from)
+{
+    auto &worker = *std::ranges::min_element(m_pullWorkers, {}, [](const auto &candidate) { return candidate->pending(); });
+    if (!worker->start({admin, from})) {
+        m_node.onPulledDocument(Clock::now(), admin, std::nullopt, m_actions);
+    }
+}
+
+void ConfigurationDuty::readPlatform(TimePoint now, const ReadPlatform &action)
+{
+    const bool isStarted =
+        action.subject == PlatformSubject::Document ? m_documentWorker->start({action.afterRevision}) : m_instancesWorker->start({action.afterRevision});
+    if (!isStarted) {
+        m_node.onPlatformFailure(now, QStringLiteral("too many calls wait"), m_actions, action.subject);
+    }
+}
+
+void ConfigurationDuty::sendNotice(const SendVersionNotice &action)
+{
+    PeerMessage message{{}, action.notice};
+    const ConfigurationPointer configuration = m_node.configuration();
+    message.header.version = configuration != nullptr ? configuration->version() : ConfigurationVersion{};
+    message.header.senderEndpoint = m_context.settings.tunnel;
+    message.header.senderIncarnation = m_context.incarnation;
+    m_context.pushOrCount(m_context.notices, m_context.sendWakeup, Outgoing{action.to, std::move(message)});
+}
+
+void ConfigurationDuty::handOver(TimePoint now)
+{
+    m_hasServed = m_hasServed || m_node.isReady(now);
+    if (!m_hasServed) {
+        return;
+    }
+    ConfigurationUpdate update;
+    const ConfigurationPointer configuration = m_node.configuration();
+    if (configuration->version() != m_handedVersion) {
+        update.configuration = configuration;
+    }
+    if (m_node.instanceRevision() != m_handedRevision) {
+        update.instances = std::make_shared<const InstanceList>(m_node.instances());
+    }
+    if (update.configuration == nullptr && update.instances == nullptr) {
+        return;
+    }
+    // A full ring is tried again at the next step.
+    if (m_context.pushOrCount(m_context.updates, m_context.decisionWakeup, update)) {
+        m_handedVersion = configuration->version();
+        m_handedRevision = m_node.instanceRevision();
+    }
+}
+
+}
--- /dev/null
+++ b/apps/rattanpickd/decisionduty.cpp
@@ -0,0 +1,102 @@
+#include "decisionduty.h"
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// Agents are to be ticked at least every 10 ms.
+constexpr Duration tickInterval = 5ms;
+/// Describing the state costs more than deciding about a packet, so it is done a few times a second.
+constexpr Duration statusInterval = 200ms;
+/// Packets taken before the clock and the configuration are looked at again.
+constexpr int packetsPerStep = 256;
+
+}
+
+DecisionDuty::DecisionDuty(DaemonContext &context)
+    : m_context(context)
+    , m_suspicions(SuspicionListSettings{.seed = static_cast<quint64>(context.incarnation)})
+{
+}
+
+void DecisionDuty::run()
+{
+    while (!m_context.isEnding) {
+        m_context.decisionWakeup.arm();
+        if (!step()) {
+            m_context.decisionWakeup.wait(tickInterval);
+        }
+    }
+}
+
+QJsonObject DecisionDuty::status() const
+{
+    const std::scoped_lock lock(m_statusMutex);
+    return m_status;
+}
+
+void DecisionDuty::send(const Endpoint &to, std::variant<PeerMessage, SendToCaller, TargetCommand> content)
+{
+    m_context.pushOrCount(m_context.decided, m_context.sendWakeup, Outgoing{to, std::move(content)});
+}
+
+void DecisionDuty::noteVersion(const PeerMessage &message, const ConfigurationVersion &own)
+{
+    const auto *notice = std::get_if<VersionNotice>(&message.body);
+    if (notice == nullptr && message.header.version == own) {
+        return;
+    }
+    const std::optional<VersionNotice> told = notice != nullptr ? std::optional(*notice) : std::nullopt;
+    m_context.pushOrCount(m_context.versions, m_context.configurationWakeup, PeerVersion{message.header.senderEndpoint, message.header.version, told});
+}
+
+void DecisionDuty::spreadSuspicion(TimePoint now, const Suspicion &suspicion, quint8 hopCount, const TunnelHeader &header)
+{
+    std::vector<SendSuspicion> passed;
+    m_suspicions.onSuspicion(now, suspicion, hopCount, m_instances, passed);
+    for (const SendSuspicion &action : passed) {
+        PeerMessage message{header, action.suspicion};
+        message.header.hopCount = action.hopCount;
+        send(action.to, std::move(message));
+    }
+}
+
+bool DecisionDuty::step()
+{
+    bool hasWorked = false;
+    while (std::optional<ConfigurationUpdate> update = m_context.updates.pop()) {
+        if (update->instances != nullptr) {
+            m_instances = *update->instances;
+        }
+        onUpdate(Clock::now(), *update);
+        hasWorked = true;
+    }
+    for (int count = 0; count < packetsPerStep; ++count) {
+        std::optional<Received> received = m_context.received.pop();
+        if (!received) {
+            break;
+        }
+        onReceived(Clock::now(), *received);
+        hasWorked = true;
+    }
+    const TimePoint now = Clock::now();
+    if (m_context.isStopping && !m_isStopNoticed) {
+        m_isStopNoticed = true;
+        onStop(now);
+    }
+    if (now >= m_tickDeadline) {
+        m_tickDeadline = now + tickInterval;
+        onTick(now);
+    }
+    if (now >= m_statusDeadline) {
+        m_statusDeadline = now + statusInterval;
+        const std::scoped_lock lock(m_statusMutex);
+        m_status = describe(now);
+    }
+    m_isStopped = m_isStopNoticed && hasStopped(now);
+    return hasWorked;
+}
+
+}
--- /dev/null
+++ b/apps/rattanpickd/platformclienthandle.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "platform/platformclient.h"
+
+#include <memory>
+#include <mutex>
+
+namespace Rattanpick
+{
+
+/// Lets one thread cancel the platform client that another thread makes, uses and destroys.
+class PlatformClientHandle
+{
+public:
+    /// Makes the client in the calling thread, where the returned pointer must be released too.
+    std::shared_ptr<PlatformClient> make(const PlatformClientSettings &settings)
+    {
+        auto *client = new PlatformClient(settings);
+        const std::scoped_lock lock(m_mutex);
+        m_client = client;
+        if (m_isCancelled) {
+            client->cancel();
+        }
+        return {client, [this](PlatformClient *released) {
+                    {
+                        const std::scoped_lock releaseLock(m_mutex);
+                        m_client = nullptr;
+                    }
+                    delete released;
+                }};
+    }
+
+    /// Makes the call in progress and all later ones fail.
+    void cancel()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_isCancelled = true;
+        if (m_client != nullptr) {
+            m_client->cancel();
+        }
+    }
+
+private:
+    std::mutex m_mutex;
+    PlatformClient *m_client = nullptr;
+    bool m_isCancelled = false;
+};
+
+}
--- /dev/null
+++ b/apps/rattanpickd/receiveduty.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "daemoncontext.h"
+
+#include "fabric/peermessagecodec.h"
+
+namespace Rattanpick
+{
+
+/// Receives from both sockets, refuses what is malformed or forged, and hands the rest to the decisions.
+class ReceiveDuty
+{
+public:
+    /// Builds the duty.
+    explicit ReceiveDuty(DaemonContext &context);
+
+    /// Works until the context ends.
+    void run();
+
+private:
+    void receiveTunnel();
+    void receiveFabric();
+    void receiveLink();
+    void push(std::variant<PeerMessage, InnerPacket, TargetReply> content);
+    bool discardAfterPause();
+
+    DaemonContext &m_context;
+    PeerMessageCodec m_codec;
+    TimePoint m_now;
+};
+
+}
--- /dev/null
+++ b/apps/rattanpickd/sendduty.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "daemoncontext.h"
+
+#include "fabric/peermessagecodec.h"
+
+namespace Rattanpick
+{
+
+/// Encodes and sends what the decisions and the configuration duty hand over.
+class SendDuty
+{
+public:
+    /// Builds the duty.
+    explicit SendDuty(DaemonContext &context);
+
+    /// Works until the context ends and the rings are empty.
+    void run();
+
+private:
+    bool sendPending();
+    void send(Outgoing &outgoing);
+
+    DaemonContext &m_context;
+    PeerMessageCodec m_codec;
+    Counter &m_sent;
+    Counter &m_unsent;
+};
+
+}
--- /dev/null
+++ b/apps/rattanpickd/wakeup.cpp
@@ -0,0 +1,50 @@
+#include "wakeup.h"
+
+#include "core/assertion.h"
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+namespace Rattanpick
+{
+
+Wakeup::Wakeup()
+    : m_descriptor(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+    RP_ASSERT(m_descriptor >= 0);
+}
+
+Wakeup::~Wakeup()
+{
+    ::close(m_descriptor);
+}
+
+void Wakeup::notify()
+{
+    // Orders the push before the look at the flag; with arm(), either the duty sees the element or this sees the flag.
+    std::atomic_thread_fence(std::memory_order_seq_cst);
+    if (m_isArmed.load(std::memory_order_relaxed) && m_isArmed.exchange(false)) {
+        const std::uint64_t one = 1;
+        [[maybe_unused]] const auto written = ::write(m_descriptor, &one, sizeof(one));
+    }
+}
+
+void Wakeup::arm()
+{
+    m_isArmed.store(true, std::memory_order_relaxed);
+    std::atomic_thread_fence(std::memory_order_seq_cst);
+}
+
+void Wakeup::wait(Duration limit)
+{
+    pollfd descriptor{m_descriptor, POLLIN, 0};
+    ::poll(&descriptor, 1, static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(limit).count()));
+    m_isArmed.store(false, std::memory_order_relaxed);
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto size = ::read(m_descriptor, &count, sizeof(count));
+}
+
+}
