--- a/packages/core/flowkey.cpp
+++ b/packages/core/flowkey.cpp
@@ -2,6 +2,8 @@
 
 #include "core/identifiers.h"
 
+#include <QStringList>
+
 namespace Rattanpick
 {
 
@@ -18,4 +20,18 @@
     return QStringLiteral("%1 %2 -> %3").arg(name, caller.toString(), service.toString());
 }
 
+std::optional<FlowKey> FlowKey::fromString(const QString &text)
+{
+    const QStringList words = text.simplified().split(QLatin1Char(' '));
+    if (words.size() != 4 || words.at(2) != QLatin1String("->") || (words.at(0) != QLatin1String("udp") && words.at(0) != QLatin1String("tcp"))) {
+        return std::nullopt;
+    }
+    const std::optional<Endpoint> caller = Endpoint::fromString(words.at(1));
+    const std::optional<Endpoint> service = Endpoint::fromString(words.at(3));
+    if (!caller.has_value() || !service.has_value()) {
+        return std::nullopt;
+    }
+    return FlowKey{*caller, *service, static_cast<quint8>(words.at(0) == QLatin1String("udp") ? 17 : 6)};
+}
+
 }
--- a/packages/core/flowkey.h
+++ b/packages/core/flowkey.h
@@ -3,6 +3,7 @@
 #include "core/endpoint.h"
 
 #include <compare>
+#include <optional>
 
 namespace Rattanpick
 {
@@ -21,6 +22,9 @@
 
     /// "udp 10.0.0.1:4000 -> 10.1.0.1:7000".
     QString toString() const;
+
+    /// Parses what toString() gives, with "udp" or "tcp"; nothing if the text has another form.
+    static std::optional<FlowKey> fromString(const QString &text);
 };
 
 }
--- a/packages/operators/adminhandlers.h
+++ b/packages/operators/adminhandlers.h
@@ -29,7 +29,9 @@
 /// A method without a function is answered as an error.
 struct AdminHandlers
 {
-    /// The state of the process.
+    /// The state of the process: an object with the keys name, role, dataCentre, version (as ConfigurationVersion::toString()),
+    /// state (such as "serving", "joining", "holding", "recovering", "draining", "stopping", "fenced"), flows (a number)
+    /// and refusals (an object of counts by reason). Processes may add keys; `rattanpickctl status` shows these.
     std::function<QJsonObject()> status;
     /// The kept events with a Lamport clock above the given one.
     std::function<AdminEvents(quint64 sinceLamport)> events;
--- a/packages/operators/inireader.cpp
+++ b/packages/operators/inireader.cpp
@@ -142,7 +142,8 @@
         }
         IniSection &section = sections[*m_current];
         if (const IniEntry *earlier = section.find(key); earlier != nullptr) {
-            report(QStringLiteral("key \"%1\" occurs twice, first in line %2").arg(key).arg(earlier->line), QStringLiteral("each key once in a section"));
+            report(QStringLiteral("key \"%1\" occurs twice, first in line %2").arg(key, QString::number(earlier->line)),
+                   QStringLiteral("each key once in a section"));
             return;
         }
         section.entries.append({key, value, m_line});
--- a/tests/core/endpointtest.cpp
+++ b/tests/core/endpointtest.cpp
@@ -32,3 +32,15 @@
     EXPECT_NE(key.hash(), (FlowKey{{1, 2}, {3, 9}, 17}.hash()));
     EXPECT_NE(key.hash(), (FlowKey{{1, 2}, {3, 4}, 6}.hash()));
 }
+
+// Guards against a flow key from a log or event that cannot be given to rattanpickctl explain.
+TEST(FlowKeyTest, TextRoundTrip)
+{
+    for (const quint8 protocol : {quint8{6}, quint8{17}}) {
+        const FlowKey key{{0x7f000001, 4000}, {0x7f000101, 7000}, protocol};
+        EXPECT_EQ(FlowKey::fromString(key.toString()), key);
+    }
+    for (const char *text : {"", "udp 127.0.0.1:1", "udp 127.0.0.1:1 - 127.0.0.1:2", "icmp 127.0.0.1:1 -> 127.0.0.1:2", "udp 127.0.0.1 -> 127.0.0.1:2"}) {
+        EXPECT_FALSE(FlowKey::fromString(QString::fromLatin1(text)).has_value()) << text;
+    }
+}
--- /dev/null
+++ b/tests/ctl/controlprogramtest.cpp
@@ -0,0 +1,155 @@
+#include <rattanpickctl/controlprogram.h>
+
+#include <core/event.h>
+#include <operators/adminserver.h>
+
+#include <QFile>
+#include <QTemporaryDir>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace Rattanpick;
+
+namespace
+{
+
+struct ProgramRun
+{
+    int exitCode = -1;
+    QString out;
+    QString err;
+};
+
+ProgramRun runProgram(const std::vector<std::string> &words)
+{
+    ProgramRun run;
+    QTextStream out(&run.out);
+    QTextStream err(&run.err);
+    std::vector<const char *> arguments{"rattanpickctl"};
+    for (const std::string &word : words) {
+        arguments.push_back(word.c_str());
+    }
+    run.exitCode = ControlProgram(out, err).run(static_cast<int>(arguments.size()), arguments.data());
+    return run;
+}
+
+const std::string regie = RATTANPICK_SOURCE_DIR "/examples/regie.ini";
+const std::string swan = RATTANPICK_SOURCE_DIR "/examples/swan.ini";
+
+class ControlProgramTest : public testing::Test
+{
+protected:
+    std::string write(const char *name, const QByteArray &content)
+    {
+        QFile file(m_folder.filePath(QLatin1String(name)));
+        EXPECT_TRUE(file.open(QIODevice::WriteOnly));
+        file.write(content);
+        return file.fileName().toStdString();
+    }
+
+    static QByteArray read(const std::string &path)
+    {
+        QFile file(QString::fromStdString(path));
+        EXPECT_TRUE(file.open(QIODevice::ReadOnly)) << path;
+        return file.readAll();
+    }
+
+    QTemporaryDir m_folder;
+};
+
+}
+
+// Guards against an option without help and against exit codes that nobody can look up.
+TEST_F(ControlProgramTest, HelpDocumentsExitCodes)
+{
+    for (const char *command : {"check", "diff", "status", "incidents", "timeline"}) {
+        const ProgramRun run = runProgram({command, "--help"});
+        EXPECT_EQ(run.exitCode, 0) << command;
+        EXPECT_TRUE(run.out.contains(QStringLiteral("Exit codes:"))) << run.out.toStdString();
+    }
+}
+
+// Guards against wrong usage that ends like success or like a finding.
+TEST_F(ControlProgramTest, WrongUsageEndsWithTwo)
+{
+    const std::vector<std::vector<std::string>> lines = {
+        {},
+        {"unknown"},
+        {"check"},
+        {"check", "/nowhere/x.ini"},
+        {"check", regie, "--team", "tri"},
+        {"diff", regie},
+        {"status"},
+        {"status", "--admin", "127.0.0.1"},
+        {"incidents"},
+        {"incidents", "--events", regie, "--from", "yesterday"},
+        {"timeline", "--events", regie, "--output", "/nowhere/x.html"},
+    };
+    for (const std::vector<std::string> &line : lines) {
+        const ProgramRun run = runProgram(line);
+        EXPECT_EQ(run.exitCode, 2) << (line.empty() ? "" : line.front());
+        EXPECT_FALSE(run.err.isEmpty());
+    }
+}
+
+// Guards against a check that passes a bad document, a foreign change or a version that does not rise.
+TEST_F(ControlProgramTest, CheckReportsFindings)
+{
+    EXPECT_EQ(runProgram({"check", regie}).exitCode, 0);
+    QByteArray later = read(regie);
+    later.replace("version = 1\n", "version = 2\n").replace("127.10.0.2:7000", "127.10.0.9:7000");
+    const std::string changed = write("later.ini", later);
+    EXPECT_EQ(runProgram({"check", changed, "--earlier", regie, "--team", "tri"}).exitCode, 0);
+    const ProgramRun foreign = runProgram({"check", changed, "--earlier", regie, "--team", "comptoir"});
+    EXPECT_EQ(foreign.exitCode, 1);
+    EXPECT_TRUE(foreign.out.contains(QStringLiteral("section of team tri was changed"))) << foreign.out.toStdString();
+    EXPECT_EQ(runProgram({"check", regie, "--earlier", changed, "--team", "tri"}).exitCode, 1);
+    EXPECT_EQ(runProgram({"check", write("bad.ini", "[document]\n")}).exitCode, 1);
+}
+
+// Guards against differences that are not shown.
+TEST_F(ControlProgramTest, DiffReportsDifferences)
+{
+    EXPECT_EQ(runProgram({"diff", regie, regie}).exitCode, 0);
+    const ProgramRun run = runProgram({"diff", regie, swan});
+    EXPECT_EQ(run.exitCode, 1);
+    EXPECT_TRUE(run.out.contains(QStringLiteral("- [service tri]\n")));
+    EXPECT_TRUE(run.out.contains(QStringLiteral("+ [service yard-desk]\n")));
+}
+
+// Guards against a silent process that ends like success.
+TEST_F(ControlProgramTest, StatusAsksProcesses)
+{
+    AdminHandlers handlers;
+    handlers.status = [] {
+        return QJsonObject{{QStringLiteral("name"), QStringLiteral("node-7")}};
+    };
+    AdminServer server({0x7f000001, 0}, handlers);
+    ASSERT_TRUE(server.start()) << server.lastError().toStdString();
+    const QByteArray address = server.endpoint().toString().toLatin1();
+    const ProgramRun run = runProgram({"status", "--instances", write("list.txt", "# nodes\n" + address + " # first\n")});
+    EXPECT_EQ(run.exitCode, 0) << run.err.toStdString();
+    EXPECT_TRUE(run.out.contains(QStringLiteral("node-7"))) << run.out.toStdString();
+    const ProgramRun silent = runProgram({"status", "--json", "--admin", address.toStdString() + ",127.0.0.1:1", "--timeout", "500"});
+    EXPECT_EQ(silent.exitCode, 3);
+    EXPECT_TRUE(silent.out.contains(QStringLiteral("\"error\""))) << silent.out.toStdString();
+}
+
+// Guards against reports that lose events of the files, or that include events outside the span of time.
+TEST_F(ControlProgramTest, IncidentsAndTimelineReadFiles)
+{
+    const Event broken{EventNumber::FlowBroken, QStringLiteral("agent-1"), 3, 1700000000000, QStringLiteral("udp a -> b"), 0, QStringLiteral("target lost")};
+    const std::string events = write("events.log", broken.toJson() + '\n');
+    const ProgramRun run = runProgram({"incidents", "--events", events});
+    EXPECT_EQ(run.exitCode, 1);
+    EXPECT_TRUE(run.out.contains(QStringLiteral("Flows broken: 1"))) << run.out.toStdString();
+    EXPECT_EQ(runProgram({"incidents", "--events", events, "--from", "2023-11-14T22:13:21"}).exitCode, 0);
+    EXPECT_EQ(runProgram({"incidents", "--events", events, "--to", "2023-11-14T23:13:20+01:00"}).exitCode, 1);
+    EXPECT_EQ(runProgram({"incidents", "--events", events, "--admin", "127.0.0.1:1"}).exitCode, 3);
+    const std::string page = m_folder.filePath(QStringLiteral("page.html")).toStdString();
+    EXPECT_EQ(runProgram({"timeline", "--events", events, "--output", page}).exitCode, 0);
+    EXPECT_TRUE(read(page).contains("FlowBroken"));
+}
