Split the agent into flows, packet path, peer messages and target link

Change: OwnedFlows, PacketPath, PeerMessageHandler and TargetLink hold one job each; TargetAgent joins them. Settings of the request table are part of the agent's settings.

--- a/packages/agent/agentcontext.cpp
+++ b/packages/agent/agentcontext.cpp
@@ -51,6 +51,23 @@
     return {};
 }
 
+Hop AgentContext::leastLoadedOther(TimePoint now, const FlowKey &flow) const
+{
+    Hop best;
+    int bestLoad = 0;
+    for (const Hop &candidate : candidatesOf(flow)) {
+        if (candidate.target == TargetId{} || candidate.target == m_settings.target || m_peers.isSuspected(candidate.target)) {
+            continue;
+        }
+        const int load = m_peers.loadOf(now, candidate.target).value_or(m_loadPermille);
+        if (best.target == TargetId{} || load < bestLoad) {
+            best = candidate;
+            bestLoad = load;
+        }
+    }
+    return best;
+}
+
 Hop AgentContext::currentHop(const Hop &hop) const
 {
     const Target *target = configuration() ? configuration()->findTarget(hop.target) : nullptr;
--- /dev/null
+++ b/packages/agent/peermessagehandler.cpp
@@ -0,0 +1,259 @@
+#include "agent/peermessagehandler.h"
+
+#include "caller/callermessagecodec.h"
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// Time between two requests for a later configuration.
+constexpr Duration fetchInterval = 100ms;
+
+Hop senderOf(const PeerMessage &message)
+{
+    return {message.header.sender, message.header.senderEndpoint};
+}
+
+}
+
+PeerMessageHandler::PeerMessageHandler(AgentContext &context,
+                                       AgentConditions &conditions,
+                                       DirectoryRecovery &recovery,
+                                       OwnedFlows &flows,
+                                       OpeningPlacer &placer,
+                                       FailureDetector &detector,
+                                       PacketPath &path)
+    : m_context(context)
+    , m_conditions(conditions)
+    , m_recovery(recovery)
+    , m_flows(flows)
+    , m_placer(placer)
+    , m_detector(detector)
+    , m_path(path)
+{
+}
+
+void PeerMessageHandler::onMessage(TimePoint now, const PeerMessage &message, AgentActions &actions)
+{
+    const TunnelHeader &header = message.header;
+    // Addresses are used again: a message for another service or target must not be acted on.
+    if (header.destination != TargetId{} && header.service != m_context.settings().service) {
+        actions.emplace_back(CountDrop{DropReason::UnknownService});
+        return;
+    }
+    if (header.destination != TargetId{} && header.destination != m_context.settings().target) {
+        actions.emplace_back(CountDrop{DropReason::UnknownDestination});
+        return;
+    }
+    noteHeader(now, message, actions);
+    std::visit([&](const auto &body) { handle(now, message, body, actions); }, message.body);
+}
+
+void PeerMessageHandler::noteHeader(TimePoint now, const PeerMessage &message, AgentActions &actions)
+{
+    const TunnelHeader &header = message.header;
+    if (header.service == m_context.settings().service && header.sender != TargetId{}) {
+        // A home that was restarted has lost what it was told.
+        const bool wasKnown = m_context.peers().incarnationOf(header.sender) != Incarnation{};
+        if (m_context.peers().onMessage(now, header) && wasKnown) {
+            m_flows.registrar().resend(now, header.sender);
+        }
+        const bool isStopping = (header.flags & TunnelHeader::stoppingFlag) != 0;
+        const bool wasSuspected = m_context.peers().isSuspected(header.sender);
+        if (!isStopping) {
+            m_detector.onSignOfLife(now, senderOf(message), header.senderIncarnation, actions);
+        }
+        if (wasSuspected && !isStopping) {
+            m_flows.registrar().recompute(now, m_flows.table());
+        }
+    }
+    if (m_conditions.isHolding() && now >= *m_conditions.holdMinimumDeadline && header.version <= m_context.version()) {
+        m_conditions.holdDeadline.reset();
+    }
+    if (header.version.number == m_context.version().number && header.version.digest != m_context.version().digest) {
+        // Two documents with one number: either may be in force somewhere.
+        m_placer.setCompleteSince(m_context.version());
+    }
+    if (header.version > m_context.version() && (!m_fetchDeadline || now >= *m_fetchDeadline)) {
+        m_fetchDeadline = now + fetchInterval;
+        actions.emplace_back(FetchConfiguration{header.senderEndpoint});
+    }
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const Forward &forward, AgentActions &actions)
+{
+    m_path.onForward(now, message, forward, actions);
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const Offer &offer, AgentActions &actions)
+{
+    const Hop home = senderOf(message);
+    if (const OwnedFlow *flow = m_flows.table().find(offer.flow, offer.nonce)) {
+        m_context.send(home, Accepted{offer.flow, offer.nonce, flow->flowIncarnation}, actions);
+        return;
+    }
+    RefusalReason reason = m_flows.admissionRefusal(now);
+    if (m_conditions.isHolding()) {
+        reason = RefusalReason::Recovering;
+    } else if (m_flows.table().hasEnded(offer.flow, offer.nonce)) {
+        reason = RefusalReason::Forgotten;
+    }
+    if (reason != RefusalReason::None) {
+        m_context.send(home, Declined{offer.flow, offer.nonce, reason}, actions);
+        return;
+    }
+    const OwnedFlow &flow = m_flows.own(now, offer.flow, offer.nonce, false, actions);
+    m_context.send(home, Accepted{offer.flow, offer.nonce, flow.flowIncarnation}, actions);
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const Accepted &accepted, AgentActions &actions)
+{
+    const Hop from = senderOf(message);
+    if (m_placer.onAccepted(now, from, accepted, actions)) {
+        return;
+    }
+    // A late acceptance: the flow stays there only if the directory names that owner, or nobody else was named.
+    const FlowDirectory::Record *record = m_flows.directory().find(accepted.flow, accepted.nonce);
+    const bool isElsewhere = m_placer.isPending(accepted.flow, accepted.nonce) || m_flows.table().find(accepted.flow, accepted.nonce)
+                             || m_placer.recentRefusal(accepted.flow, accepted.nonce) != RefusalReason::None
+                             || (record && record->entry.owner.target != from.target);
+    if (isElsewhere) {
+        m_context.send(from, Withdraw{accepted.flow, accepted.nonce}, actions);
+        return;
+    }
+    m_flows.learnOwner(now, DirectoryEntry{accepted.flow, accepted.nonce, from, accepted.flowIncarnation});
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const Declined &declined, AgentActions &actions)
+{
+    m_placer.onDeclined(now, message.header.sender, declined, actions);
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage & /*message*/, const Withdraw &withdraw, AgentActions &actions)
+{
+    const OwnedFlow *flow = m_flows.table().find(withdraw.flow, withdraw.nonce);
+    // A flow whose caller has sent packets is in use: the caller was told of this owner.
+    if (!flow || flow->isUsed) {
+        return;
+    }
+    m_flows.end(now, withdraw.flow, EventNumber::FlowClosed, QStringLiteral("withdrawn by the home"), actions);
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const FlowQuery &query, AgentActions &actions)
+{
+    const Hop asker = senderOf(message);
+    FlowReply reply;
+    reply.entry.flow = query.flow;
+    reply.entry.nonce = query.nonce;
+    if (const OwnedFlow *flow = m_flows.table().find(query.flow, query.nonce)) {
+        reply.isKnown = true;
+        reply.entry.owner = m_context.self();
+        reply.entry.flowIncarnation = flow->flowIncarnation;
+        m_context.send(asker, reply, actions);
+        return;
+    }
+    const FlowDirectory::Record *record = m_flows.directory().find(query.flow, query.nonce);
+    if (record && record->kind == FlowDirectory::Kind::Owned) {
+        reply.isKnown = true;
+        reply.entry = record->entry;
+        m_context.send(asker, reply, actions);
+        return;
+    }
+    // An opening in the hands of this agent, or a process that cannot know yet: the asker tries again later.
+    if (m_placer.isPending(query.flow, query.nonce) || m_recovery.isRecovering(now)) {
+        return;
+    }
+    // From now on the asker decides: a later opening under the earlier table goes there.
+    reply.entry.owner = asker;
+    m_flows.directory().put(reply.entry, FlowDirectory::Kind::Deferred, now + m_context.settings().endedFlowMemory);
+    m_context.send(asker, reply, actions);
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const FlowReply &reply, AgentActions &actions)
+{
+    m_placer.onFlowReply(now, message.header.sender, reply, actions);
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const Register &registration, AgentActions &actions)
+{
+    const Hop owner = senderOf(message);
+    for (const DirectoryEntry &entry : registration.entries) {
+        if (m_flows.table().find(entry.flow, entry.nonce)) {
+            continue;
+        }
+        DirectoryEntry accepted = entry;
+        accepted.owner = owner;
+        m_flows.directory().put(accepted, FlowDirectory::Kind::Owned, now + m_context.settings().directoryRetention);
+    }
+    m_context.send(owner, Registered{registration.batch}, actions);
+}
+
+void PeerMessageHandler::handle(TimePoint /*now*/, const PeerMessage &message, const Registered &registered, AgentActions & /*actions*/)
+{
+    m_flows.registrar().onRegistered(message.header.sender, registered.batch);
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const Release &release, AgentActions & /*actions*/)
+{
+    m_flows.directory().release(release.flow, release.nonce, message.header.sender);
+    m_flows.table().rememberEnd(release.flow, release.nonce, now + m_context.settings().endedFlowMemory);
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const DirectoryDigest &digest, AgentActions &actions)
+{
+    const TargetId owner = message.header.sender;
+    const TargetId self = m_context.settings().target;
+    const DirectoryDigest held = m_flows.directory().digestOf(owner, [this, self](const FlowKey &flow) {
+        const CandidateTable::Candidates candidates = m_context.candidatesOf(flow);
+        return candidates[0].target == self || candidates[1].target == self;
+    });
+    m_recovery.onDigest(owner, digest, held);
+    if (digest == held) {
+        m_flows.directory().refreshOwner(owner, now + m_context.settings().directoryRetention);
+        return;
+    }
+    // Tables of different versions count different entries; a difference means something under one version only.
+    if (message.header.version == m_context.version() && digest.count > 0) {
+        m_context.send(senderOf(message), DirectoryPull{}, actions);
+    }
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const DirectoryPull & /*pull*/, AgentActions &actions)
+{
+    m_flows.registrar().answerPull(now, senderOf(message), actions);
+}
+
+void PeerMessageHandler::handle(TimePoint /*now*/, const PeerMessage & /*message*/, const VersionNotice & /*notice*/, AgentActions & /*actions*/)
+{
+}
+
+void PeerMessageHandler::handle(TimePoint /*now*/, const PeerMessage & /*message*/, const Heartbeat & /*heartbeat*/, AgentActions & /*actions*/)
+{
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage & /*message*/, const Suspicion &suspicion, AgentActions &actions)
+{
+    if (m_detector.onSuspicion(now, suspicion, actions)) {
+        m_flows.registrar().recompute(now, m_flows.table());
+    }
+}
+
+void PeerMessageHandler::handle(TimePoint now, const PeerMessage & /*message*/, const Retry &retry, AgentActions &actions)
+{
+    const std::optional<CallerMessage> body = decodeCallerMessage(retry.payload);
+    const auto *request = body ? std::get_if<Request>(&*body) : nullptr;
+    if (!request || !request->isIdempotent) {
+        actions.emplace_back(CountDrop{DropReason::Malformed});
+        return;
+    }
+    // Without an answer the caller repeats the request to its owner.
+    if (m_conditions.isHolding() || m_conditions.isDataCentreOut) {
+        actions.emplace_back(CountDrop{m_conditions.isHolding() ? DropReason::HoldingAfterPause : DropReason::DataCentreOut});
+        return;
+    }
+    m_flows.requests().onRetriedRequest(now, retry.flow, *request, actions);
+}
+
+}
--- /dev/null
+++ b/packages/agent/peermessagehandler.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "agent/agentcontext.h"
+#include "agent/directoryrecovery.h"
+#include "agent/failuredetector.h"
+#include "agent/openingplacer.h"
+#include "agent/ownedflows.h"
+#include "agent/packetpath.h"
+
+#include <optional>
+
+namespace Rattanpick
+{
+
+/// What an agent does with each kind of message from balancers and other agents.
+class PeerMessageHandler
+{
+public:
+    /// Builds a handler; the references must outlive it.
+    PeerMessageHandler(AgentContext &context,
+                       AgentConditions &conditions,
+                       DirectoryRecovery &recovery,
+                       OwnedFlows &flows,
+                       OpeningPlacer &placer,
+                       FailureDetector &detector,
+                       PacketPath &path);
+
+    /// Takes note of the header and acts on the body, unless the message is for another service or target.
+    void onMessage(TimePoint now, const PeerMessage &message, AgentActions &actions);
+
+private:
+    void noteHeader(TimePoint now, const PeerMessage &message, AgentActions &actions);
+
+    // One handler for each kind of body. Versions and signs of life are taken from every header, so that
+    // notices and heartbeats need no more.
+    void handle(TimePoint now, const PeerMessage &message, const Forward &forward, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Offer &offer, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Accepted &accepted, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Declined &declined, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Withdraw &withdraw, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const FlowQuery &query, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const FlowReply &reply, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Register &registration, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Registered &registered, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Release &release, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const DirectoryDigest &digest, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const DirectoryPull &pull, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const VersionNotice &notice, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Heartbeat &heartbeat, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Suspicion &suspicion, AgentActions &actions);
+    void handle(TimePoint now, const PeerMessage &message, const Retry &retry, AgentActions &actions);
+
+    AgentContext &m_context;
+    AgentConditions &m_conditions;
+    DirectoryRecovery &m_recovery;
+    OwnedFlows &m_flows;
+    OpeningPlacer &m_placer;
+    FailureDetector &m_detector;
+    PacketPath &m_path;
+    /// When a later configuration may be asked for again.
+    std::optional<TimePoint> m_fetchDeadline;
+};
+
+}
--- a/packages/agent/targetagentsettings.h
+++ b/packages/agent/targetagentsettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/requesttablesettings.h"
 #include "core/endpoint.h"
 #include "core/identifiers.h"
 #include "core/timepoint.h"
@@ -29,6 +30,8 @@
     /// Seed of the random numbers that the decisions draw.
     quint64 seed = 1;
 
+    /// What the table of requests is built from; slots and shares come from the document.
+    RequestTableSettings requests;
     /// The most openings that wait for an earlier home, a candidate or a configuration.
     std::size_t pendingOpenings = 4096;
     /// How long a home waits for the answers of earlier homes.
