Add callers, scenario runs, fault plans and the programs prove and measure_balancing

Cause: the decision objects have to be judged together, under seeded faults, beside naive baselines. Change: ScenarioRun, FaultInjector, FakeCaller, baselines as wrappers of TargetAgent, prove and measure_balancing.

--- /dev/null
+++ b/proof/fakecaller.cpp
@@ -0,0 +1,377 @@
+#include "proof/fakecaller.h"
+
+#include "caller/callersession.h"
+#include "proof/naiveassembler.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <utility>
+
+namespace Rattanpick::Proof
+{
+
+namespace
+{
+
+/// Time before a flow that was refused or broke is replaced.
+constexpr Duration openAgainDelay = 300ms;
+
+/// Mean time from a request to its withdrawal, if it is withdrawn.
+constexpr Duration cancelDelay = 30ms;
+
+Ending endingOf(RequestEnding ending)
+{
+    switch (ending) {
+    case RequestEnding::Answered:
+        return Ending::Answered;
+    case RequestEnding::NotRun:
+        return Ending::NotRun;
+    case RequestEnding::OutcomeUnknown:
+        break;
+    }
+    return Ending::OutcomeUnknown;
+}
+
+}
+
+class FakeCaller::Private
+{
+public:
+    Private(const FakeCallerSettings &callerSettings, History &runHistory, Send sendPacket)
+        : settings(callerSettings)
+        , history(runHistory)
+        , send(std::move(sendPacket))
+        , random(callerSettings.seed)
+        , port(callerSettings.endpoint.port)
+    {
+    }
+
+    /// A request that has not ended for the caller.
+    struct Pending
+    {
+        quint64 serial = 0;
+        TimePoint sentAt;
+        std::optional<TimePoint> cancelAt;
+    };
+
+    // Flow
+
+    void open(TimePoint now)
+    {
+        openAgainAt.reset();
+        CallerSessionSettings sessionSettings;
+        sessionSettings.seed = random();
+        session.emplace(sessionSettings);
+        flow = FlowKey{Endpoint{settings.endpoint.address, ++port}, settings.service};
+        openedAt = now;
+        isClosing = false;
+        pending.clear();
+        dataSentAt.clear();
+        assembler = NaiveAssembler();
+        CallerActions actions;
+        session->open(now, actions);
+        carryOut(now, actions);
+    }
+
+    void onOpen(TimePoint now)
+    {
+        ++counts.openedFlows;
+        openWaits.push_back(CallerWait{momentOf(now), now - openedAt});
+        record(now, FlowOpened{session->nonce()});
+        nextRequestAt = now + jittered(settings.requestInterval);
+        nextDataAt = now + jittered(settings.dataInterval);
+        closeAt = now + jittered(settings.flowLifetime);
+    }
+
+    void onEnd(TimePoint now)
+    {
+        pending.clear();
+        if (settings.opensAgain && !isStopped) {
+            openAgainAt = now + openAgainDelay;
+        }
+    }
+
+    void onBroken(TimePoint now, const QString &reason)
+    {
+        ++counts.brokenFlows;
+        record(now, FlowBroken{session->nonce(), reason});
+        onEnd(now);
+    }
+
+    // Requests
+
+    void sendRequest(TimePoint now)
+    {
+        nextRequestAt = now + jittered(settings.requestInterval);
+        const bool isIdempotent = draw(settings.idempotentShare);
+        const TimePoint deadline = now + settings.requestDeadline;
+        const quint64 serial = lastSerial + 1;
+        CallerActions actions;
+        // The body carries the identity of the request, so that a retry under another number is known as the same request.
+        const std::optional<quint64> number = session->sendRequest(now, QByteArray::number(serial), isIdempotent, deadline, actions);
+        if (!number) {
+            return;
+        }
+        lastSerial = serial;
+        ++counts.sentRequests;
+        Pending &entry = pending[*number];
+        entry = Pending{serial, now, std::nullopt};
+        if (draw(settings.cancelShare)) {
+            entry.cancelAt = now + jittered(cancelDelay);
+        }
+        record(now, CallerSentRequest{session->nonce(), serial, isIdempotent, momentOf(deadline)});
+        carryOut(now, actions);
+    }
+
+    void cancelDue(TimePoint now)
+    {
+        std::vector<quint64> due;
+        for (auto &[number, entry] : pending) {
+            if (entry.cancelAt && now >= *entry.cancelAt) {
+                entry.cancelAt.reset();
+                due.push_back(number);
+            }
+        }
+        for (const quint64 number : due) {
+            record(now, CallerCancelledRequest{session->nonce(), pending.at(number).serial});
+            CallerActions actions;
+            session->cancel(now, number, actions);
+            carryOut(now, actions);
+        }
+    }
+
+    void endRequest(TimePoint now, quint64 number, Ending ending, const QByteArray &answer)
+    {
+        const auto found = pending.find(number);
+        if (found == pending.end()) {
+            return;
+        }
+        const bool isAnswered = ending == Ending::Answered;
+        counts.answeredRequests += isAnswered ? 1 : 0;
+        counts.notRunRequests += ending == Ending::NotRun ? 1 : 0;
+        counts.unknownRequests += ending == Ending::OutcomeUnknown ? 1 : 0;
+        requestWaits.push_back(CallerWait{momentOf(now), isAnswered ? now - found->second.sentAt : Duration::zero()});
+        record(now, Proof::RequestEnded{session->nonce(), found->second.serial, ending, isAnswered ? hashBytes(answer) : 0});
+        pending.erase(found);
+    }
+
+    // Data
+
+    void sendData(TimePoint now)
+    {
+        nextDataAt = now + jittered(settings.dataInterval);
+        CallerActions actions;
+        if (const std::optional<quint64> sequence = session->sendData(now, QByteArrayLiteral("data"), actions)) {
+            dataSentAt[*sequence] = now;
+        }
+        carryOut(now, actions);
+    }
+
+    void onDataAck(TimePoint now, const DataAck &ack)
+    {
+        const auto found = dataSentAt.find(ack.sequence);
+        if (found == dataSentAt.end()) {
+            return;
+        }
+        dataWaits.push_back(CallerWait{momentOf(now), now - found->second});
+        dataSentAt.erase(found);
+    }
+
+    // Actions
+
+    void carryOut(TimePoint now, const CallerActions &actions)
+    {
+        for (const CallerAction &action : actions) {
+            if (const auto *message = std::get_if<SendToService>(&action)) {
+                send(flow, message->message);
+            } else if (std::holds_alternative<FlowIsOpen>(action)) {
+                onOpen(now);
+            } else if (std::holds_alternative<FlowIsRefused>(action)) {
+                ++counts.refusedFlows;
+                onEnd(now);
+            } else if (std::holds_alternative<FlowIsClosed>(action)) {
+                isClosing ? onEnd(now) : onBroken(now, QStringLiteral("closed by the service"));
+            } else if (const auto *broken = std::get_if<FlowIsBroken>(&action)) {
+                onBroken(now, QStringLiteral("reset, reason %1").arg(static_cast<int>(broken->reason)));
+            } else if (const auto *ended = std::get_if<Rattanpick::RequestEnded>(&action)) {
+                onSessionEnding(now, *ended);
+            }
+        }
+    }
+
+    void onSessionEnding(TimePoint now, const Rattanpick::RequestEnded &ended)
+    {
+        // The baseline of P5 takes answers from its own assembler only.
+        if (settings.ignoresIdentity && ended.ending == RequestEnding::Answered) {
+            return;
+        }
+        endRequest(now, ended.request, endingOf(ended.ending), ended.body);
+    }
+
+    void assembleNaively(TimePoint now, const AnswerPart &part)
+    {
+        const std::optional<QByteArray> answer = assembler.add(part);
+        if (answer && !pending.empty()) {
+            endRequest(now, pending.begin()->first, Ending::Answered, *answer);
+        }
+    }
+
+    // Time
+
+    void tick(TimePoint now)
+    {
+        if (openAgainAt && now >= *openAgainAt && !isStopped) {
+            open(now);
+        }
+        if (!session) {
+            return;
+        }
+        CallerActions actions;
+        session->onTick(now, actions);
+        carryOut(now, actions);
+        if (!session->isOpen() || isClosing) {
+            return;
+        }
+        cancelDue(now);
+        if (now >= nextDataAt) {
+            sendData(now);
+        }
+        const bool isOver = settings.flowLifetime > Duration::zero() && now >= closeAt && !isStopped;
+        if (isOver && session->requestsInProgress() == 0) {
+            close(now);
+        } else if (!isOver && !isStopped && settings.requestInterval > Duration::zero() && now >= nextRequestAt) {
+            sendRequest(now);
+        }
+    }
+
+    void close(TimePoint now)
+    {
+        isClosing = true;
+        record(now, FlowClosed{session->nonce()});
+        CallerActions actions;
+        session->close(now, actions);
+        carryOut(now, actions);
+    }
+
+    void record(TimePoint now, RecordBody body)
+    {
+        history.append(momentOf(now), settings.name, std::move(body));
+    }
+
+    bool draw(double probability)
+    {
+        return std::bernoulli_distribution(probability)(random);
+    }
+
+    Duration jittered(Duration mean)
+    {
+        return Duration(static_cast<qint64>(std::uniform_real_distribution<double>(0.5, 1.5)(random) * static_cast<double>(mean.count())));
+    }
+
+    FakeCallerSettings settings;
+    History &history;
+    Send send;
+    std::mt19937_64 random;
+    std::optional<CallerSession> session;
+    FlowKey flow;
+    quint16 port = 0;
+    TimePoint openedAt;
+    TimePoint nextRequestAt;
+    TimePoint nextDataAt;
+    TimePoint closeAt;
+    std::optional<TimePoint> openAgainAt;
+    bool isClosing = false;
+    bool isStopped = false;
+    /// Data whose acknowledgement shows that the flow lives; nothing if no check goes on.
+    std::optional<quint64> checkSequence;
+    quint64 lastSerial = 0;
+    /// By the number that the session gave the request.
+    std::map<quint64, Pending> pending;
+    std::map<quint64, TimePoint> dataSentAt;
+    NaiveAssembler assembler;
+    CallerCounts counts;
+    std::vector<CallerWait> dataWaits;
+    std::vector<CallerWait> openWaits;
+    std::vector<CallerWait> requestWaits;
+};
+
+FakeCaller::FakeCaller(const FakeCallerSettings &settings, History &history, Send send)
+    : d(std::make_unique<Private>(settings, history, std::move(send)))
+{
+}
+
+FakeCaller::~FakeCaller() = default;
+
+void FakeCaller::start(TimePoint now)
+{
+    d->open(now);
+}
+
+void FakeCaller::onMessage(TimePoint now, const FlowKey &flow, const CallerMessage &message)
+{
+    if (!d->session || flow != d->flow) {
+        return;
+    }
+    if (const auto *ack = std::get_if<DataAck>(&message); ack != nullptr && ack->nonce == d->session->nonce()) {
+        d->onDataAck(now, *ack);
+        d->checkSequence = d->checkSequence == ack->sequence ? std::nullopt : d->checkSequence;
+    }
+    if (const auto *part = std::get_if<AnswerPart>(&message); part != nullptr && d->settings.ignoresIdentity) {
+        d->assembleNaively(now, *part);
+    }
+    CallerActions actions;
+    d->session->onMessage(now, message, actions);
+    d->carryOut(now, actions);
+}
+
+void FakeCaller::onTick(TimePoint now)
+{
+    d->tick(now);
+}
+
+void FakeCaller::stopRequests()
+{
+    d->isStopped = true;
+}
+
+void FakeCaller::beginCheck(TimePoint now)
+{
+    if (!d->session || !d->session->isOpen() || d->isClosing) {
+        return;
+    }
+    CallerActions actions;
+    // A full window means that nothing has been acknowledged for long; no sequence has the number 0.
+    d->checkSequence = d->session->sendData(now, QByteArrayLiteral("check"), actions).value_or(0);
+    d->carryOut(now, actions);
+}
+
+void FakeCaller::endCheck(TimePoint now)
+{
+    if (d->checkSequence && d->session->isOpen()) {
+        d->onBroken(now, QStringLiteral("no answer"));
+    }
+    d->checkSequence.reset();
+}
+
+const CallerCounts &FakeCaller::counts() const
+{
+    return d->counts;
+}
+
+const std::vector<CallerWait> &FakeCaller::dataWaits() const
+{
+    return d->dataWaits;
+}
+
+const std::vector<CallerWait> &FakeCaller::openWaits() const
+{
+    return d->openWaits;
+}
+
+const std::vector<CallerWait> &FakeCaller::requestWaits() const
+{
+    return d->requestWaits;
+}
+
+}
--- a/proof/faketarget.cpp
+++ b/proof/faketarget.cpp
@@ -20,6 +20,18 @@
 /// Decay time of the average number of busy slots.
 constexpr double averageSeconds = 2;
 
+/// The identity that the caller gave the request, the same for all of its attempts.
+quint64 serialOf(const TargetRequest &request)
+{
+    return request.body.toULongLong();
+}
+
+/// Differs for each run and part.
+QByteArray answerPart(const TargetRequest &request, quint64 run, int part)
+{
+    return QByteArray::number(request.nonce) + ':' + request.body + ':' + QByteArray::number(run) + ':' + QByteArray::number(part) + ';';
+}
+
 /// Spread of run times around their mean, as a share.
 constexpr double runTimeSpread = 0.25;
 
@@ -160,8 +172,9 @@
         return;
     }
     accountBusyTime();
+    const quint64 serial = running->second.serial;
     m_running.erase(running);
-    m_history.append(moment(), m_settings.name, TargetEndedRequest{command.nonce, command.number});
+    m_history.append(moment(), m_settings.name, TargetEndedRequest{command.nonce, serial});
     reply(TargetCancelled{command.flow, command.nonce, command.number, true});
     startWaiting();
 }
@@ -213,13 +226,13 @@
 void FakeTarget::endRun(const TargetRequest &request, quint64 run)
 {
     const auto [begin, end] = m_running.equal_range({request.nonce, request.number});
-    const auto found = std::find_if(begin, end, [&](const auto &entry) { return entry.second == run; });
+    const auto found = std::find_if(begin, end, [&](const auto &entry) { return entry.second.number == run; });
     if (found == end) {
         return;
     }
     accountBusyTime();
     m_running.erase(found);
-    m_history.append(moment(), m_settings.name, TargetEndedRequest{request.nonce, request.number});
+    m_history.append(moment(), m_settings.name, TargetEndedRequest{request.nonce, serialOf(request)});
     sendAnswer(request, run);
     startWaiting();
 }
@@ -230,8 +243,7 @@
     std::iota(order.begin(), order.end(), 0);
     std::ranges::shuffle(order, m_random);
     for (const int part : order) {
-        const QByteArray body =
-            QByteArray::number(request.nonce) + ':' + QByteArray::number(request.number) + ':' + QByteArray::number(run) + ':' + QByteArray::number(part) + ';';
+        const QByteArray body = answerPart(request, run, part);
         const int copies = std::bernoulli_distribution(m_settings.partRepetition)(m_random) ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
             reply(
--- a/proof/faketarget.h
+++ b/proof/faketarget.h
@@ -83,6 +83,13 @@
 private:
     using RequestKey = std::pair<quint64, quint64>;
 
+    struct Run
+    {
+        quint64 number = 0;
+        /// The identity that the caller gave the request.
+        quint64 serial = 0;
+    };
+
     void handle(const TargetOpen &command);
     void handle(const TargetData &command);
     void handle(const TargetDataAck &command);
@@ -113,8 +120,8 @@
     Incarnation m_incarnation{};
     std::set<std::pair<FlowKey, quint64>> m_flows;
     std::deque<TargetRequest> m_waiting;
-    /// Number of the run in progress for each request; the same request may run more than once.
-    std::multimap<RequestKey, quint64> m_running;
+    /// Runs in progress by nonce and number; the same request may run more than once.
+    std::multimap<RequestKey, Run> m_running;
     TimePoint m_coldSince;
     bool m_isWarm = true;
     bool m_isDraining = false;
--- /dev/null
+++ b/proof/prove.cpp
@@ -0,0 +1,206 @@
+#include "proof/historychecker.h"
+#include "proof/pointscenarios.h"
+#include "proof/scenariorun.h"
+
+#include <CLI/CLI.hpp>
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <atomic>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+using namespace Rattanpick;
+using namespace Rattanpick::Proof;
+
+namespace
+{
+
+/// Threads of the long randomised run; each run is single-threaded.
+constexpr unsigned runThreads = 4;
+
+constexpr std::size_t fewestFaults = 3;
+constexpr std::size_t mostFaults = 6;
+
+/// What one run showed about a point.
+struct Verdict
+{
+    std::size_t violations = 0;
+    QString first;
+    std::size_t records = 0;
+};
+
+/// One row of the report.
+struct Row
+{
+    PointScenario scenario;
+    Verdict without;
+    Verdict with;
+
+    bool isProved() const
+    {
+        return without.violations > 0 && with.violations == 0;
+    }
+};
+
+Verdict judge(const ScenarioSettings &settings, int point)
+{
+    ScenarioRun run(settings);
+    run.run();
+    const std::vector<Violation> violations = HistoryChecker().checkPoint(run.history(), point);
+    Verdict verdict{violations.size(), {}, run.history().records().size()};
+    if (!violations.empty()) {
+        verdict.first = describe(violations.front(), run.history());
+    }
+    return verdict;
+}
+
+Row provePoint(int point, quint64 seed)
+{
+    Row row;
+    row.scenario = pointScenario(point, seed);
+    row.with = judge(row.scenario.settings, point);
+    ScenarioSettings naive = row.scenario.settings;
+    naive.naivePoint = point;
+    row.without = judge(naive, point);
+    return row;
+}
+
+QJsonObject toJson(const Row &row)
+{
+    return QJsonObject{{QStringLiteral("point"), row.scenario.point},
+                       {QStringLiteral("mechanism"), row.scenario.mechanism},
+                       {QStringLiteral("baseline"), row.scenario.baseline},
+                       {QStringLiteral("seed"), static_cast<qint64>(row.scenario.settings.seed)},
+                       {QStringLiteral("violationsWithout"), static_cast<qint64>(row.without.violations)},
+                       {QStringLiteral("firstWithout"), row.without.first},
+                       {QStringLiteral("recordsWithout"), static_cast<qint64>(row.without.records)},
+                       {QStringLiteral("violationsWith"), static_cast<qint64>(row.with.violations)},
+                       {QStringLiteral("firstWith"), row.with.first},
+                       {QStringLiteral("recordsWith"), static_cast<qint64>(row.with.records)},
+                       {QStringLiteral("proved"), row.isProved()}};
+}
+
+void print(const Row &row)
+{
+    std::printf("P%-3d %-44s %-42s seed %-4llu without: %5zu violations  with: %zu violations in %zu records  %s\n",
+                row.scenario.point,
+                qPrintable(row.scenario.mechanism),
+                qPrintable(row.scenario.baseline),
+                static_cast<unsigned long long>(row.scenario.settings.seed),
+                row.without.violations,
+                row.with.violations,
+                row.with.records,
+                row.isProved() ? "ok" : "NOT PROVED");
+    if (!row.without.first.isEmpty()) {
+        std::printf("     without: %s\n", qPrintable(row.without.first));
+    }
+    if (!row.with.first.isEmpty()) {
+        std::printf("     with: %s\n", qPrintable(row.with.first));
+    }
+}
+
+/// What the long randomised run found.
+struct Totals
+{
+    std::size_t runs = 0;
+    std::size_t records = 0;
+    std::size_t messages = 0;
+    std::size_t failedRuns = 0;
+    std::vector<std::size_t> violations = std::vector<std::size_t>(pointCount + 1);
+};
+
+void runSeed(quint64 seed, Totals &totals, std::mutex &mutex)
+{
+    const std::size_t faultCount = fewestFaults + seed % (mostFaults - fewestFaults + 1);
+    const ScenarioSettings settings = randomScenario(seed, faultCount);
+    ScenarioRun run(settings);
+    run.run();
+    const std::vector<Violation> violations = HistoryChecker().check(run.history());
+    const std::lock_guard lock(mutex);
+    ++totals.runs;
+    totals.records += run.history().records().size();
+    totals.messages += run.network().deliveredMessages();
+    totals.failedRuns += violations.empty() ? 0 : 1;
+    for (const Violation &violation : violations) {
+        ++totals.violations[static_cast<std::size_t>(violation.point)];
+    }
+    if (!violations.empty()) {
+        std::printf("seed %llu: %zu violations; faults: %s\n  %s\n",
+                    static_cast<unsigned long long>(seed),
+                    violations.size(),
+                    qPrintable(describe(settings.faults)),
+                    qPrintable(describe(violations.front(), run.history())));
+        std::fflush(stdout);
+    }
+}
+
+Totals runSeeds(quint64 first, quint64 count)
+{
+    Totals totals;
+    std::mutex mutex;
+    std::atomic<quint64> next = first;
+    std::vector<std::jthread> threads;
+    for (unsigned index = 0; index < runThreads; ++index) {
+        threads.emplace_back([&] {
+            for (quint64 seed = next++; seed < first + count; seed = next++) {
+                runSeed(seed, totals, mutex);
+            }
+        });
+    }
+    threads.clear();
+    return totals;
+}
+
+void print(const Totals &totals)
+{
+    std::printf("%zu runs, %zu records, %zu messages, %zu runs with violations\n", totals.runs, totals.records, totals.messages, totals.failedRuns);
+    for (int point = 1; point <= pointCount; ++point) {
+        std::printf("  P%d: %zu violations\n", point, totals.violations[static_cast<std::size_t>(point)]);
+    }
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    CLI::App app{"Runs each of P1 to P10 without and with its mechanism"};
+    quint64 seed = 1;
+    quint64 seeds = 0;
+    quint64 firstSeed = 1;
+    int onlyPoint = 0;
+    bool isJson = false;
+    app.add_option("--seed", seed, "Seed of the rows");
+    app.add_option("--seeds", seeds, "Number of randomised runs instead of the rows");
+    app.add_option("--first-seed", firstSeed, "First seed of the randomised runs");
+    app.add_option("--point", onlyPoint, "Only this point")->check(CLI::Range(1, pointCount));
+    app.add_flag("--json", isJson, "Print JSON");
+    CLI11_PARSE(app, argc, argv);
+
+    if (seeds > 0) {
+        const Totals totals = runSeeds(firstSeed, seeds);
+        print(totals);
+        return totals.failedRuns == 0 ? 0 : 1;
+    }
+    bool isProved = true;
+    QJsonArray array;
+    for (int point = 1; point <= pointCount; ++point) {
+        if (onlyPoint != 0 && point != onlyPoint) {
+            continue;
+        }
+        const Row row = provePoint(point, seed);
+        isProved = isProved && row.isProved();
+        if (isJson) {
+            array.append(toJson(row));
+        } else {
+            print(row);
+        }
+    }
+    if (isJson) {
+        std::printf("%s\n", QJsonDocument(array).toJson(QJsonDocument::Compact).constData());
+    }
+    return isProved ? 0 : 1;
+}
--- /dev/null
+++ b/proof/repeatingagent.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "proof/designagent.h"
+
+#include <set>
+#include <utility>
+
+namespace Rattanpick::Proof
+{
+
+/// Baseline: an agent without the duplicate table, which delivers every copy of a request to its target.
+class RepeatingAgent : public DesignAgent
+{
+public:
+    using DesignAgent::DesignAgent;
+
+    void onPeerMessage(TimePoint now, const PeerMessage &message, AgentActions &actions) override;
+    void onTargetReply(TimePoint now, const TargetReply &reply, AgentActions &actions) override;
+    void onTick(TimePoint now, AgentActions &actions) override;
+
+private:
+    bool noteDeliveries(const AgentActions &actions, std::size_t from);
+
+    /// Requests that the agent has delivered once.
+    std::set<std::pair<quint64, quint64>> m_delivered;
+};
+
+}
--- /dev/null
+++ b/proof/unorderedsource.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "proof/configurationsource.h"
+
+namespace Rattanpick::Proof
+{
+
+/// Baseline: every process reads the platform and uses whatever it gives, earlier documents too; peers tell nothing.
+class UnorderedSource : public ConfigurationSource
+{
+public:
+    void onPlatformDocument(TimePoint now, quint64 revision, const QByteArray &text, SpreadActions &actions) override;
+    void onInstanceList(TimePoint now, const InstanceList &instances, SpreadActions &actions) override;
+    void onPlatformFailure(TimePoint now, SpreadActions &actions) override;
+    void onPeerVersion(TimePoint now,
+                       const Endpoint &tunnel,
+                       const ConfigurationVersion &version,
+                       const std::optional<VersionNotice> &notice,
+                       SpreadActions &actions) override;
+    void onPulledDocument(TimePoint now, const Endpoint &admin, const std::optional<QByteArray> &answer, SpreadActions &actions) override;
+    QByteArray documentDelta(const ConfigurationVersion &from) const override;
+    ConfigurationPointer configuration() const override;
+    bool isReady(TimePoint now) const override;
+    void onTick(TimePoint now, SpreadActions &actions) override;
+
+private:
+    ConfigurationPointer m_configuration;
+    quint64 m_revision = 0;
+    bool m_isReading = false;
+};
+
+}
