Run the ten points without and with their mechanisms

Change: prove runs each point twice under one seed; FakeTarget records the identity that the caller gave a request, so that a retry under another number counts as the same request.

--- a/proof/faketarget.cpp
+++ b/proof/faketarget.cpp
@@ -206,13 +206,12 @@
 {
     accountBusyTime();
     const quint64 run = ++m_runs;
-    m_running.emplace(RequestKey{request.nonce, request.number}, run);
+    m_running.emplace(RequestKey{request.nonce, request.number}, Run{run, serialOf(request)});
     QByteArray answer;
     for (int part = 0; part < m_settings.answerParts; ++part) {
-        answer +=
-            QByteArray::number(request.nonce) + ':' + QByteArray::number(request.number) + ':' + QByteArray::number(run) + ':' + QByteArray::number(part) + ';';
+        answer += answerPart(request, run, part);
     }
-    m_history.append(moment(), m_settings.name, TargetRanRequest{request.nonce, request.number, hashBytes(answer)});
+    m_history.append(moment(), m_settings.name, TargetRanRequest{request.nonce, serialOf(request), hashBytes(answer)});
     if (warmShare() < 1) {
         m_peakColdLoad = std::max(m_peakColdLoad, static_cast<double>(m_running.size()) / std::max(1.0, std::floor(bearableSlots())));
     }
--- a/proof/historychecker.cpp
+++ b/proof/historychecker.cpp
@@ -142,7 +142,11 @@
 
     void add(std::size_t number, const TargetEndedRequest &body)
     {
-        for (Run &run : runsOf[{body.nonce, body.number}]) {
+        const auto runs = runsOf.find({body.nonce, body.number});
+        if (runs == runsOf.end()) {
+            return;
+        }
+        for (Run &run : runs->second) {
             if (run.target == party(number) && run.end == never) {
                 run.end = at(number);
                 run.endRecord = number;
--- a/proof/prove.cpp
+++ b/proof/prove.cpp
@@ -7,6 +7,7 @@
 #include <QJsonDocument>
 #include <QJsonObject>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstdio>
@@ -32,6 +33,9 @@
     std::size_t violations = 0;
     QString first;
     std::size_t records = 0;
+    /// What the callers got, so that a run in which nothing happened proves nothing.
+    quint64 openedFlows = 0;
+    quint64 answeredRequests = 0;
 };
 
 /// One row of the report.
@@ -43,7 +47,7 @@
 
     bool isProved() const
     {
-        return without.violations > 0 && with.violations == 0;
+        return without.violations > 0 && with.violations == 0 && with.openedFlows > 0;
     }
 };
 
@@ -62,6 +66,10 @@
     run.run();
     const std::vector<Violation> violations = HistoryChecker().checkPoint(run.history(), point);
     Verdict verdict{violations.size(), {}, run.history().records().size()};
+    for (const auto &caller : run.callers()) {
+        verdict.openedFlows += caller->counts().openedFlows;
+        verdict.answeredRequests += caller->counts().answeredRequests;
+    }
     if (!violations.empty()) {
         verdict.first = describe(violations.front(), run.history());
     }
@@ -91,12 +99,14 @@
                        {QStringLiteral("violationsWith"), static_cast<qint64>(row.with.violations)},
                        {QStringLiteral("firstWith"), row.with.first},
                        {QStringLiteral("recordsWith"), static_cast<qint64>(row.with.records)},
+                       {QStringLiteral("flowsWith"), static_cast<qint64>(row.with.openedFlows)},
+                       {QStringLiteral("answersWith"), static_cast<qint64>(row.with.answeredRequests)},
                        {QStringLiteral("proved"), row.isProved()}};
 }
 
 void print(const Row &row)
 {
-    std::printf("P%-3d %-44s %-42s seed %-4llu without: %5zu violations  with: %zu violations in %zu records  %s\n",
+    std::printf("P%-3d %-44s %-42s seed %-4llu without: %5zu violations  with: %zu violations in %zu records (%llu flows, %llu answers)  %s\n",
                 row.scenario.point,
                 qPrintable(row.scenario.mechanism),
                 qPrintable(row.scenario.baseline),
@@ -104,6 +114,8 @@
                 row.without.violations,
                 row.with.violations,
                 row.with.records,
+                static_cast<unsigned long long>(row.with.openedFlows),
+                static_cast<unsigned long long>(row.with.answeredRequests),
                 row.isProved() ? "ok" : "NOT PROVED");
     if (!row.without.first.isEmpty()) {
         std::printf("     without: %s\n", qPrintable(row.without.first));
@@ -123,11 +135,30 @@
     std::vector<std::size_t> violations = std::vector<std::size_t>(pointCount + 1);
 };
 
+std::size_t faultCountOf(quint64 seed)
+{
+    return fewestFaults + seed % (mostFaults - fewestFaults + 1);
+}
+
+void printTrace(const ScenarioSettings &settings, const QString &text)
+{
+    ScenarioRun run(settings);
+    run.run();
+    for (std::size_t index = 0; index < run.history().records().size(); ++index) {
+        const QString line = run.history().describe(index);
+        if (line.contains(text)) {
+            std::printf("%s\n", qPrintable(line));
+        }
+    }
+    for (const Violation &violation : HistoryChecker().check(run.history())) {
+        std::printf("%s\n", qPrintable(describe(violation, run.history())));
+    }
+}
+
 void runSeed(quint64 seed, Totals &totals, std::mutex &mutex)
 {
     currentSeed = seed;
-    const std::size_t faultCount = fewestFaults + seed % (mostFaults - fewestFaults + 1);
-    const ScenarioSettings settings = randomScenario(seed, faultCount);
+    const ScenarioSettings settings = randomScenario(seed, faultCountOf(seed));
     ScenarioRun run(settings);
     run.run();
     const std::vector<Violation> violations = HistoryChecker().check(run.history());
@@ -185,13 +216,23 @@
     quint64 firstSeed = 1;
     int onlyPoint = 0;
     bool isJson = false;
+    std::string trace;
+    bool isNaive = false;
     app.add_option("--seed", seed, "Seed of the rows");
     app.add_option("--seeds", seeds, "Number of randomised runs instead of the rows");
     app.add_option("--first-seed", firstSeed, "First seed of the randomised runs");
     app.add_option("--point", onlyPoint, "Only this point")->check(CLI::Range(1, pointCount));
     app.add_flag("--json", isJson, "Print JSON");
+    app.add_option("--trace", trace, "Print the records of one run that contain the text, then stop; with --seeds 1 of the randomised run of --first-seed");
+    app.add_flag("--naive", isNaive, "Trace the run without the mechanism");
     CLI11_PARSE(app, argc, argv);
 
+    if (!trace.empty()) {
+        ScenarioSettings settings = seeds > 0 ? randomScenario(firstSeed, faultCountOf(firstSeed)) : pointScenario(std::max(1, onlyPoint), seed).settings;
+        settings.naivePoint = isNaive ? onlyPoint : 0;
+        printTrace(settings, QString::fromStdString(trace));
+        return 0;
+    }
     if (seeds > 0) {
         const Totals totals = runSeeds(firstSeed, seeds);
         print(totals);
