Tell load by the expected need of flows; end flows only at their owner's word

Change: Release ends a flow only if the directory names the sender as owner. Ruled out: a longer mean of busy slots alone, which follows a new flow too late and lets all homes choose the same candidate.

--- a/packages/agent/flowadmission.cpp
+++ b/packages/agent/flowadmission.cpp
@@ -19,10 +19,18 @@
 
 }
 
-void FlowAdmission::onAdmitted(TimePoint now)
+void FlowAdmission::observe(TimePoint now, const State &state)
 {
-    m_pressure = pressure(now) + 1.0;
-    m_pressureTime = now;
+    if (m_observedAt) {
+        using Seconds = std::chrono::duration<double>;
+        const double elapsed = std::chrono::duration_cast<Seconds>(std::max(now - *m_observedAt, Duration::zero())).count();
+        const double kept = std::exp(-elapsed / std::chrono::duration_cast<Seconds>(needMemory).count());
+        m_busySeconds = m_busySeconds * kept + static_cast<double>(m_busySlots) * elapsed;
+        m_flowSeconds = m_flowSeconds * kept + static_cast<double>(m_flows) * elapsed;
+    }
+    m_observedAt = now;
+    m_busySlots = state.busySlots;
+    m_flows = state.ownedFlows;
 }
 
 RefusalReason FlowAdmission::refusal(const State &state)
@@ -44,22 +52,23 @@
     return RefusalReason::None;
 }
 
-quint16 FlowAdmission::loadPermille(TimePoint now, const State &state) const
+quint16 FlowAdmission::loadPermille(const State &state) const
 {
     RP_ASSERT(state.warmPermille > 0 && state.warmPermille <= 1000);
     RP_ASSERT(state.slotCount > 0);
-    const double share = state.warmPermille / 1000.0;
-    const double recent = pressure(now) * flowWeightPermille / (static_cast<double>(state.slotCount) * share);
-    const double requests = state.requestLoadPermille / share;
-    const double flows = state.connectionLimit == 0 ? 0.0 : 1000.0 * static_cast<double>(state.ownedFlows) / static_cast<double>(state.connectionLimit);
-    const double load = std::max(requests + recent, flows);
+    const double flows = static_cast<double>(state.ownedFlows);
+    const double bearable = static_cast<double>(state.slotCount) * state.warmPermille / 1000.0;
+    const double expected = 1000.0 * flows * needOfFlow() / bearable;
+    const double connections = state.connectionLimit == 0 ? 0.0 : 1000.0 * flows / static_cast<double>(state.connectionLimit);
+    // A queue that stays longer than the capacity shows work that the mean need does not explain.
+    const double overload = state.requestLoadPermille - 1000.0;
+    const double load = std::max({expected, connections, overload});
     return static_cast<quint16>(std::min<double>(load, std::numeric_limits<quint16>::max()));
 }
 
-double FlowAdmission::pressure(TimePoint now) const
+double FlowAdmission::needOfFlow() const
 {
-    const double elapsed = std::chrono::duration<double>(now - m_pressureTime) / std::chrono::duration<double>(pressureDecay);
-    return m_pressure * std::exp(-std::max(0.0, elapsed));
+    return (m_busySeconds + assumedNeed * assumedFlowSeconds) / (m_flowSeconds + assumedFlowSeconds);
 }
 
 }
--- a/packages/agent/flowdirectory.cpp
+++ b/packages/agent/flowdirectory.cpp
@@ -18,12 +18,14 @@
     return found != m_records.end() && found->second.entry.nonce == nonce ? &found->second : nullptr;
 }
 
-void FlowDirectory::release(const FlowKey &flow, quint64 nonce, TargetId owner)
+bool FlowDirectory::release(const FlowKey &flow, quint64 nonce, TargetId owner)
 {
     const Record *record = find(flow, nonce);
-    if (record && record->entry.owner.target == owner) {
-        m_records.erase(flow);
+    if (!record || record->kind != Kind::Owned || record->entry.owner.target != owner) {
+        return false;
     }
+    m_records.erase(flow);
+    return true;
 }
 
 void FlowDirectory::refreshOwner(TargetId owner, TimePoint deadline)
--- a/packages/agent/flowdirectory.h
+++ b/packages/agent/flowdirectory.h
@@ -36,8 +36,8 @@
     /// The record of the flow and nonce, or null.
     const Record *find(const FlowKey &flow, quint64 nonce) const;
 
-    /// Removes the entry of the flow if its nonce and owner are these.
-    void release(const FlowKey &flow, quint64 nonce, TargetId owner);
+    /// Removes the entry of the flow if its nonce and owner are these; true if there was such an entry.
+    bool release(const FlowKey &flow, quint64 nonce, TargetId owner);
 
     /// Lets all entries of the owner live until the deadline.
     void refreshOwner(TargetId owner, TimePoint deadline);
--- a/packages/agent/ownedflows.cpp
+++ b/packages/agent/ownedflows.cpp
@@ -63,7 +63,6 @@
     if (!isRecovered) {
         owned.targetOpenDeadline = now + settings.targetOpenTimeout;
         actions.emplace_back(SendToTarget{TargetOpen{flow, nonce}});
-        m_admission.onAdmitted(now);
     }
     OwnedFlow &added = m_table.add(owned);
     m_requests.openFlow(flow, nonce, owned.flowIncarnation, isRecovered);
@@ -151,6 +150,7 @@
     const Target *target = m_context.configuration() ? m_context.configuration()->findTarget(m_context.settings().target) : nullptr;
     state.connectionLimit = target ? target->connections : 0;
     state.slotCount = target ? target->slots : 1;
+    state.busySlots = m_requests.deliveredRequests();
     state.requestLoadPermille = m_requests.loadPermille(now);
     state.warmPermille = std::clamp(static_cast<int>(m_requests.ramp().share() * 1000.0), 1, 1000);
     return state;
@@ -160,7 +160,9 @@
 {
     const quint8 recovery = m_recovery.isUncertain(now) ? TunnelHeader::recoveryFlag : 0;
     const quint8 stopping = m_conditions.stopDeadline ? TunnelHeader::stoppingFlag : 0;
-    m_context.setHeaderState(m_admission.loadPermille(now, admissionState(now)), static_cast<quint8>(recovery | stopping));
+    const FlowAdmission::State state = admissionState(now);
+    m_admission.observe(now, state);
+    m_context.setHeaderState(m_admission.loadPermille(state), static_cast<quint8>(recovery | stopping));
 }
 
 void OwnedFlows::sendRetries(TimePoint now, std::size_t from, AgentActions &actions)
--- a/packages/agent/peermessagehandler.cpp
+++ b/packages/agent/peermessagehandler.cpp
@@ -197,8 +197,10 @@
 
 void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const Release &release, AgentActions & /*actions*/)
 {
-    m_flows.directory().release(release.flow, release.nonce, message.header.sender);
-    m_flows.table().rememberEnd(release.flow, release.nonce, now + m_context.settings().endedFlowMemory);
+    // A candidate that was withdrawn releases a flow which another agent owns, possibly this one: that is not the flow's end.
+    if (m_flows.directory().release(release.flow, release.nonce, message.header.sender)) {
+        m_flows.table().rememberEnd(release.flow, release.nonce, now + m_context.settings().endedFlowMemory);
+    }
 }
 
 void PeerMessageHandler::handle(TimePoint now, const PeerMessage &message, const DirectoryDigest &digest, AgentActions &actions)
--- a/tests/agent/targetagenttest.cpp
+++ b/tests/agent/targetagenttest.cpp
@@ -204,6 +204,36 @@
     }
 }
 
+// Guards against a withdrawn candidate whose release makes the home forget the true owner of the flow.
+TEST(TargetAgentTest, ReleaseOfAWithdrawnCandidateEndsNothing)
+{
+    AgentBench bench(3);
+    const ConfigurationPointer configuration = bench.configuration(1);
+    const FlowKey key = AgentBench::flow(1);
+    bench.send(configuration, key, Open{nonce});
+    const std::vector<int> owners = bench.holders(key, nonce);
+    ASSERT_EQ(owners.size(), 1U);
+    for (int index = 0; index < 3; ++index) {
+        if (index == owners[0]) {
+            continue;
+        }
+        PeerMessage message;
+        message.header.version = configuration->version();
+        message.header.service = AgentBench::service().id;
+        message.header.destination = AgentBench::target(owners[0]).id;
+        message.header.sender = AgentBench::target(index).id;
+        message.header.senderEndpoint = AgentBench::target(index).agent;
+        message.header.senderIncarnation = Incarnation{static_cast<quint64>(index) + 1};
+        message.body = Release{key, nonce};
+        AgentActions actions;
+        bench.agent(owners[0]).onPeerMessage(bench.now(), message, actions);
+    }
+    bench.send(configuration, key, KeepAlive{nonce});
+    EXPECT_EQ(bench.received<Rebound>(key).size(), 1U);
+    bench.send(configuration, key, Close{nonce});
+    EXPECT_EQ(bench.received<Closed>(key).size(), 1U);
+}
+
 // Guards against a packet that reaches a target of another service whose address was used before.
 TEST(TargetAgentTest, RefusesPacketsForAnotherServiceOrTarget)
 {
