--- a/packages/agent/requesttable.cpp
+++ b/packages/agent/requesttable.cpp
@@ -396,7 +396,7 @@
 {
     while (!answerRepeats.empty() && answerRepeats.front().at <= now) {
         std::pop_heap(answerRepeats.begin(), answerRepeats.end());
-        AnswerRepeat repeat = std::move(answerRepeats.back());
+        AnswerRepeat repeat = answerRepeats.back();
         answerRepeats.pop_back();
         RequestRecord *const record = recordOf(repeat.id);
         if (!record || record->state != RequestState::Answered || record->isAcknowledged() || record->answer.empty()) {
@@ -408,7 +408,7 @@
             continue;
         }
         repeat.at = now + settings.answerRepeat * (1 << std::min(record->repeats, repeatDoublings));
-        answerRepeats.push_back(std::move(repeat));
+        answerRepeats.push_back(repeat);
         std::push_heap(answerRepeats.begin(), answerRepeats.end());
     }
 }
@@ -534,7 +534,7 @@
 }
 
 RequestTable::RequestTable(const RequestTableSettings &settings)
-    : d(std::make_unique<Private>(settings))
+    : m_d(std::make_unique<Private>(settings))
 {
 }
 
@@ -546,76 +546,76 @@
 {
     // Requests of an earlier process carry an earlier flow incarnation, so a recovered flow needs no other treatment.
     Q_UNUSED(isRecovered)
-    if (FlowRequests *const known = d->ownedFlow(flow, nonce)) {
+    if (FlowRequests *const known = m_d->ownedFlow(flow, nonce)) {
         known->setFlowIncarnation(flowIncarnation);
         return;
     }
     // A new nonce on the same addresses is a new flow; nothing of the earlier one may reach its caller.
     const auto abandon = [this](FlowRequests &requests) {
         for (RequestRecord &record : requests.records()) {
-            d->dropAnswer(record);
+            m_d->dropAnswer(record);
         }
     };
-    if (const auto earlier = d->flows.find(flow); earlier != d->flows.end()) {
+    if (const auto earlier = m_d->flows.find(flow); earlier != m_d->flows.end()) {
         abandon(earlier->second);
-        d->flows.erase(earlier);
+        m_d->flows.erase(earlier);
     }
-    if (const auto retried = d->retriedFlows.find(flow); retried != d->retriedFlows.end()) {
+    if (const auto retried = m_d->retriedFlows.find(flow); retried != m_d->retriedFlows.end()) {
         abandon(retried->second.requests);
-        d->retriedFlows.erase(retried);
+        m_d->retriedFlows.erase(retried);
     }
-    d->queue.removeIf([&flow](const RequestId &id) { return id.flow == flow; });
-    d->detachSlots(flow);
-    d->flows.emplace(flow, FlowRequests(nonce, flowIncarnation));
+    m_d->queue.removeIf([&flow](const RequestId &id) { return id.flow == flow; });
+    m_d->detachSlots(flow);
+    m_d->flows.emplace(flow, FlowRequests(nonce, flowIncarnation));
 }
 
 void RequestTable::closeFlow(TimePoint now, const FlowKey &flow, AgentActions &actions)
 {
-    const auto found = d->flows.find(flow);
-    if (found == d->flows.end()) {
+    const auto found = m_d->flows.find(flow);
+    if (found == m_d->flows.end()) {
         return;
     }
     FlowRequests &requests = found->second;
-    const RefusalReason reason = d->isTargetJustLost ? RefusalReason::TargetLost : RefusalReason::Cancelled;
-    d->queue.removeIf([&flow](const RequestId &id) { return id.flow == flow; });
-    for (TargetSlot &slot : d->slots) {
+    const RefusalReason reason = m_d->isTargetJustLost ? RefusalReason::TargetLost : RefusalReason::Cancelled;
+    m_d->queue.removeIf([&flow](const RequestId &id) { return id.flow == flow; });
+    for (TargetSlot &slot : m_d->slots) {
         if (slot.id.flow == flow && !slot.isDetached && !slot.isCancelling) {
-            d->beginCancel(now, slot, reason, actions);
+            m_d->beginCancel(now, slot, reason, actions);
         }
     }
     for (RequestRecord &record : requests.records()) {
         if (record.isInProgress()) {
             const Outcome outcome = record.state == RequestState::Queued ? Outcome::NotRun : Outcome::OutcomeUnknown;
-            d->refuse(RequestId{flow, requests.nonce(), record.number}, record, reason, outcome, actions);
+            m_d->refuse(RequestId{flow, requests.nonce(), record.number}, record, reason, outcome, actions);
         }
-        d->dropAnswer(record);
+        m_d->dropAnswer(record);
     }
-    d->detachSlots(flow);
-    d->flows.erase(found);
+    m_d->detachSlots(flow);
+    m_d->flows.erase(found);
 }
 
 // Requests
 
 void RequestTable::onRequest(TimePoint now, const FlowKey &flow, const Request &request, AgentActions &actions)
 {
-    FlowRequests *const requests = d->ownedFlow(flow, request.nonce);
+    FlowRequests *const requests = m_d->ownedFlow(flow, request.nonce);
     if (!requests) {
         actions.emplace_back(CountDrop{DropReason::UnknownFlow});
         return;
     }
     const RequestId id{flow, request.nonce, request.number};
-    if (d->settings.duplicates == DuplicateStrategy::RunEveryCopy) {
-        d->runCopy(now, *requests, id, request, actions);
+    if (m_d->settings.duplicates == DuplicateStrategy::RunEveryCopy) {
+        m_d->runCopy(now, *requests, id, request, actions);
         return;
     }
     RequestRecord *const record = requests->find(request.number);
     const bool isKnownCopy = record && record->flowIncarnation == request.flowIncarnation;
     if (!isKnownCopy && request.flowIncarnation != requests->flowIncarnation()) {
-        d->refuseOtherIncarnation(*requests, id, actions);
+        m_d->refuseOtherIncarnation(*requests, id, actions);
         return;
     }
     if (record) {
-        d->onRepeated(id, *record, actions);
+        m_d->onRepeated(id, *record, actions);
         return;
     }
     if (requests->isForgotten(request.number)) {
@@ -623,40 +623,40 @@
         actions.emplace_back(RecordEvent{EventNumber::RequestOutcomeUnknown, flow, request.number, refusalDetail(RefusalReason::Forgotten)});
         return;
     }
-    d->budget.onRequest();
-    d->accept(now, *requests, id, requests->append(request.number), request, actions);
+    m_d->budget.onRequest();
+    m_d->accept(now, *requests, id, requests->append(request.number), request, actions);
 }
 
 void RequestTable::onRetriedRequest(TimePoint now, const FlowKey &flow, const Request &request, AgentActions &actions)
 {
     // An owner hands over only idempotent requests, and the owner itself is never asked; anything else is an outdated or wrong message.
-    if (!request.isIdempotent || d->flows.contains(flow)) {
+    if (!request.isIdempotent || m_d->flows.contains(flow)) {
         actions.emplace_back(CountDrop{DropReason::UnknownFlow});
         return;
     }
-    if (now < d->retriesFrom(now)) {
+    if (now < m_d->retriesFrom(now)) {
         actions.emplace_back(SendToCaller{flow, Refused{request.nonce, request.number, RefusalReason::Recovering, Outcome::OutcomeUnknown}});
         return;
     }
-    auto found = d->retriedFlows.find(flow);
-    if (found != d->retriedFlows.end() && found->second.requests.nonce() != request.nonce) {
+    auto found = m_d->retriedFlows.find(flow);
+    if (found != m_d->retriedFlows.end() && found->second.requests.nonce() != request.nonce) {
         actions.emplace_back(CountDrop{DropReason::UnknownFlow});
         return;
     }
-    if (found == d->retriedFlows.end()) {
-        if (d->retriedFlows.size() >= d->settings.retriedFlows) {
+    if (found == m_d->retriedFlows.end()) {
+        if (m_d->retriedFlows.size() >= m_d->settings.retriedFlows) {
             actions.emplace_back(CountDrop{DropReason::QueueFull});
             return;
         }
-        found = d->retriedFlows.emplace(flow, RetriedFlow{FlowRequests(request.nonce, request.flowIncarnation), now}).first;
+        found = m_d->retriedFlows.emplace(flow, RetriedFlow{FlowRequests(request.nonce, request.flowIncarnation), now}).first;
     }
     // Kept beyond the deadline of every request: by then the caller takes no answer of a copy that runs again.
     const TimePoint deadline = now + std::chrono::milliseconds(request.remainingMilliseconds);
-    found->second.forgetAt = std::max(found->second.forgetAt, deadline + d->settings.retriedFlowRetention);
+    found->second.forgetAt = std::max(found->second.forgetAt, deadline + m_d->settings.retriedFlowRetention);
     FlowRequests &requests = found->second.requests;
     const RequestId id{flow, request.nonce, request.number};
     if (RequestRecord *const record = requests.find(request.number)) {
-        d->onRepeated(id, *record, actions);
+        m_d->onRepeated(id, *record, actions);
         return;
     }
     if (requests.isForgotten(request.number)) {
@@ -665,23 +665,23 @@
     }
     RequestRecord &record = requests.append(request.number);
     record.isRetried = true;
-    d->accept(now, requests, id, record, request, actions);
+    m_d->accept(now, requests, id, record, request, actions);
 }
 
 void RequestTable::onRetryNotPlaced(TimePoint now, const FlowKey &flow, quint64 nonce, quint64 number, AgentActions &actions)
 {
     const RequestId id{flow, nonce, number};
-    RequestRecord *const record = d->recordOf(id);
+    RequestRecord *const record = m_d->recordOf(id);
     if (!record || record->state != RequestState::HandedOver) {
         return;
     }
-    d->refuse(id, *record, RefusalReason::Overloaded, Outcome::NotRun, actions);
-    d->finishStep(now, actions);
+    m_d->refuse(id, *record, RefusalReason::Overloaded, Outcome::NotRun, actions);
+    m_d->finishStep(now, actions);
 }
 
 void RequestTable::onCancel(TimePoint now, const FlowKey &flow, const Cancel &cancel, AgentActions &actions)
 {
-    FlowRequests *const requests = d->ownedFlow(flow, cancel.nonce);
+    FlowRequests *const requests = m_d->ownedFlow(flow, cancel.nonce);
     if (!requests) {
         actions.emplace_back(CountDrop{DropReason::UnknownFlow});
         return;
@@ -696,51 +696,51 @@
         // Nothing is said yet: without the flow incarnation of the request, another owner may have run it.
         requests->append(cancel.number).state = RequestState::Marked;
         actions.emplace_back(RecordEvent{EventNumber::RequestCancelled, flow, cancel.number, {}});
-        d->evict(*requests);
+        m_d->evict(*requests);
         return;
     }
     switch (record->state) {
     case RequestState::Marked:
         return;
     case RequestState::Queued:
-        d->queue.removeIf([&id](const RequestId &waiting) { return waiting == id; });
+        m_d->queue.removeIf([&id](const RequestId &waiting) { return waiting == id; });
         actions.emplace_back(RecordEvent{EventNumber::RequestCancelled, flow, cancel.number, {}});
-        d->refuse(id, *record, RefusalReason::Cancelled, Outcome::NotRun, actions);
+        m_d->refuse(id, *record, RefusalReason::Cancelled, Outcome::NotRun, actions);
         break;
     case RequestState::Delivered:
-        if (TargetSlot *const slot = d->slotOf(id); slot && !slot->isCancelling) {
+        if (TargetSlot *const slot = m_d->slotOf(id); slot && !slot->isCancelling) {
             actions.emplace_back(RecordEvent{EventNumber::RequestCancelled, flow, cancel.number, {}});
-            d->beginCancel(now, *slot, RefusalReason::Cancelled, actions);
+            m_d->beginCancel(now, *slot, RefusalReason::Cancelled, actions);
         }
         break;
     case RequestState::HandedOver:
-        d->refuse(id, *record, RefusalReason::Cancelled, Outcome::OutcomeUnknown, actions);
+        m_d->refuse(id, *record, RefusalReason::Cancelled, Outcome::OutcomeUnknown, actions);
         break;
     case RequestState::Answered:
-        d->sendMissingParts(id, *record, actions);
+        m_d->sendMissingParts(id, *record, actions);
         break;
     case RequestState::NotRun:
     case RequestState::OutcomeUnknown:
-        d->repeatRefusal(id, *record, actions);
+        m_d->repeatRefusal(id, *record, actions);
         break;
     }
-    d->finishStep(now, actions);
+    m_d->finishStep(now, actions);
 }
 
 void RequestTable::onAnswerAck(TimePoint now, const FlowKey &flow, const AnswerAck &ack, AgentActions &actions)
 {
     Q_UNUSED(now)
     const RequestId id{flow, ack.nonce, ack.number};
-    RequestRecord *const record = d->recordOf(id);
+    RequestRecord *const record = m_d->recordOf(id);
     if (!record) {
         return;
     }
     record->acknowledged |= ack.receivedMask & record->received;
     if (record->isAcknowledged()) {
-        d->dropAnswer(*record);
+        m_d->dropAnswer(*record);
         return;
     }
-    d->sendMissingParts(id, *record, actions);
+    m_d->sendMissingParts(id, *record, actions);
 }
 
 // Target
@@ -748,147 +748,147 @@
 void RequestTable::onTargetAnswerPart(TimePoint now, const TargetAnswerPart &part, AgentActions &actions)
 {
     const RequestId id{part.flow, part.nonce, part.number};
-    TargetSlot *const slot = d->slotOf(id);
+    TargetSlot *const slot = m_d->slotOf(id);
     const bool isWellFormed = part.parts >= 1 && part.parts <= AnswerPart::maximumParts && part.part < part.parts && part.body.size() <= maximumAnswerBodySize;
     if (!slot || !isWellFormed || (slot->parts != 0 && slot->parts != part.parts) || (slot->received >> part.part & 1) != 0) {
         return;
     }
     slot->parts = part.parts;
     slot->received |= quint64{1} << part.part;
-    RequestRecord *const record = d->recordOf(*slot);
+    RequestRecord *const record = m_d->recordOf(*slot);
     const bool isOpen = record && record->state == RequestState::Delivered;
     if (isOpen) {
         record->parts = part.parts;
         record->answer.resize(part.parts);
         record->answer[part.part] = part.body;
         record->received = slot->received;
-        d->answerBytes += static_cast<std::size_t>(part.body.size());
+        m_d->answerBytes += static_cast<std::size_t>(part.body.size());
         actions.emplace_back(SendToCaller{part.flow, AnswerPart{part.nonce, part.number, part.part, part.parts, part.body}});
     }
     if (!slot->isComplete()) {
         return;
     }
-    d->ramp.onResponse(now, now - slot->deliveredAt);
-    d->freeSlot(*slot);
+    m_d->ramp.onResponse(now, now - slot->deliveredAt);
+    m_d->freeSlot(*slot);
     if (isOpen) {
-        d->completeAnswer(now, id, *record, actions);
-        d->dropOldAnswers(now);
+        m_d->completeAnswer(now, id, *record, actions);
+        m_d->dropOldAnswers(now);
     }
-    d->finishStep(now, actions);
+    m_d->finishStep(now, actions);
 }
 
 void RequestTable::onTargetShed(TimePoint now, const TargetShed &shed, AgentActions &actions)
 {
     const RequestId id{shed.flow, shed.nonce, shed.number};
-    TargetSlot *const slot = d->slotOf(id);
+    TargetSlot *const slot = m_d->slotOf(id);
     if (!slot) {
         return;
     }
-    RequestRecord *const record = d->recordOf(*slot);
+    RequestRecord *const record = m_d->recordOf(*slot);
     const bool isCancelling = slot->isCancelling;
     const RefusalReason cancelReason = slot->cancelReason;
-    d->ramp.onShed(now);
-    d->freeSlot(*slot);
+    m_d->ramp.onShed(now);
+    m_d->freeSlot(*slot);
     if (record && record->state == RequestState::Delivered) {
         if (isCancelling) {
             const RefusalReason reason = cancelReason == RefusalReason::Cancelled ? cancelReason : RefusalReason::DeadlinePassed;
-            d->refuse(id, *record, reason, Outcome::NotRun, actions);
+            m_d->refuse(id, *record, reason, Outcome::NotRun, actions);
         } else {
-            d->shed(now, id, *record, actions);
+            m_d->shed(now, id, *record, actions);
         }
     }
-    d->finishStep(now, actions);
+    m_d->finishStep(now, actions);
 }
 
 void RequestTable::onTargetCancelled(TimePoint now, const TargetCancelled &cancelled, AgentActions &actions)
 {
     const RequestId id{cancelled.flow, cancelled.nonce, cancelled.number};
-    TargetSlot *const slot = d->slotOf(id);
+    TargetSlot *const slot = m_d->slotOf(id);
     if (!slot) {
         return;
     }
-    RequestRecord *const record = d->recordOf(*slot);
+    RequestRecord *const record = m_d->recordOf(*slot);
     const RefusalReason cancelReason = slot->isCancelling ? slot->cancelReason : RefusalReason::Cancelled;
-    d->freeSlot(*slot);
+    m_d->freeSlot(*slot);
     if (record && record->state == RequestState::Delivered) {
         if (cancelled.hasRun) {
-            d->refuse(id, *record, cancelReason, Outcome::OutcomeUnknown, actions);
+            m_d->refuse(id, *record, cancelReason, Outcome::OutcomeUnknown, actions);
         } else {
             const RefusalReason reason = cancelReason == RefusalReason::TargetTimeout ? RefusalReason::DeadlinePassed : cancelReason;
-            d->refuse(id, *record, reason, Outcome::NotRun, actions);
+            m_d->refuse(id, *record, reason, Outcome::NotRun, actions);
         }
     }
-    d->finishStep(now, actions);
+    m_d->finishStep(now, actions);
 }
 
 void RequestTable::onTargetLost(TimePoint now, AgentActions &actions)
 {
-    for (const TargetSlot &slot : d->slots) {
-        RequestRecord *const record = d->recordOf(slot);
+    for (const TargetSlot &slot : m_d->slots) {
+        RequestRecord *const record = m_d->recordOf(slot);
         if (record && record->state == RequestState::Delivered) {
-            d->refuse(slot.id, *record, RefusalReason::TargetLost, Outcome::OutcomeUnknown, actions);
+            m_d->refuse(slot.id, *record, RefusalReason::TargetLost, Outcome::OutcomeUnknown, actions);
         }
     }
-    d->slots.clear();
-    d->ramp.turnCold();
-    d->isTargetJustLost = true;
-    d->finishStep(now, actions);
+    m_d->slots.clear();
+    m_d->ramp.turnCold();
+    m_d->isTargetJustLost = true;
+    m_d->finishStep(now, actions);
 }
 
 // Limits
 
 void RequestTable::setLimits(quint32 slotCount, int coldSharePercent, int warmSeconds, int retryBudgetPercent)
 {
-    d->slotCount = std::max<quint32>(slotCount, 1);
-    d->ramp.setLimits(d->slotCount, std::clamp(coldSharePercent, 1, 100), std::max(warmSeconds, 0));
-    d->budget.setPercent(retryBudgetPercent);
+    m_d->slotCount = std::max<quint32>(slotCount, 1);
+    m_d->ramp.setLimits(m_d->slotCount, std::clamp(coldSharePercent, 1, 100), std::max(warmSeconds, 0));
+    m_d->budget.setPercent(retryBudgetPercent);
 }
 
 void RequestTable::refuseNewRequests(RefusalReason reason)
 {
-    d->refusalForNew = reason;
+    m_d->refusalForNew = reason;
 }
 
 bool RequestTable::isIdle() const
 {
     const auto isWaiting = [this](const AnswerRepeat &repeat) {
-        const RequestRecord *const record = d->recordOf(repeat.id);
+        const RequestRecord *const record = m_d->recordOf(repeat.id);
         return record && record->state == RequestState::Answered && !record->isAcknowledged() && !record->answer.empty();
     };
-    return d->slots.empty() && d->queue.size() == 0 && std::none_of(d->answerRepeats.begin(), d->answerRepeats.end(), isWaiting);
+    return m_d->slots.empty() && m_d->queue.size() == 0 && std::none_of(m_d->answerRepeats.begin(), m_d->answerRepeats.end(), isWaiting);
 }
 
 quint16 RequestTable::loadPermille(TimePoint now) const
 {
-    return d->load.loadPermille(now);
+    return m_d->load.loadPermille(now);
 }
 
 const ColdStartRamp &RequestTable::ramp() const
 {
-    return d->ramp;
+    return m_d->ramp;
 }
 
 std::size_t RequestTable::queuedRequests() const
 {
-    return d->queue.size();
+    return m_d->queue.size();
 }
 
 std::size_t RequestTable::deliveredRequests() const
 {
-    return d->slots.size();
+    return m_d->slots.size();
 }
 
 // Time
 
 void RequestTable::onTick(TimePoint now, AgentActions &actions)
 {
-    d->isTargetJustLost = false;
-    d->expireQueued(now, actions);
-    d->stepSlots(now, actions);
-    d->repeatAnswers(now, actions);
-    d->dropOldAnswers(now);
-    d->forgetRetriedFlows(now);
-    d->finishStep(now, actions);
+    m_d->isTargetJustLost = false;
+    m_d->expireQueued(now, actions);
+    m_d->stepSlots(now, actions);
+    m_d->repeatAnswers(now, actions);
+    m_d->dropOldAnswers(now);
+    m_d->forgetRetriedFlows(now);
+    m_d->finishStep(now, actions);
 }
 
 }
