--- a/packages/core/configurationversion.h
+++ b/packages/core/configurationversion.h
@@ -17,8 +17,7 @@
     quint64 number = 0;
     quint64 digest = 0;
 
-    // clang-tidy 14 takes the 0 within a defaulted comparison for a null pointer.
-    auto operator<=>(const ConfigurationVersion &) const = default; // NOLINT(modernize-use-nullptr)
+    auto operator<=>(const ConfigurationVersion &) const = default;
 
     /// "17/0123456789abcdef".
     QString toString() const
--- a/packages/core/endpoint.h
+++ b/packages/core/endpoint.h
@@ -17,7 +17,7 @@
     quint32 address = 0;
     quint16 port = 0;
 
-    auto operator<=>(const Endpoint &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14
+    auto operator<=>(const Endpoint &) const = default;
 
     /// Whether neither address nor port is set.
     bool isNull() const
--- a/packages/core/flowkey.h
+++ b/packages/core/flowkey.h
@@ -15,7 +15,7 @@
     Endpoint service;
     quint8 protocol = 17;
 
-    auto operator<=>(const FlowKey &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14
+    auto operator<=>(const FlowKey &) const = default;
 
     /// 64-bit hash, equal on every node; chooses the bucket of the candidate table.
     quint64 hash() const;
--- a/proof/measuredatapath.cpp
+++ b/proof/measuredatapath.cpp
@@ -149,6 +149,7 @@
 
     // The candidates are read at random, as packets do, so that caches miss as they would.
     std::vector<FlowKey> flows;
+    flows.reserve(lookUps);
     for (int index = 0; index < lookUps; ++index) {
         flows.push_back(flow(static_cast<quint32>(random() % openFlows)));
     }
