--- a/packages/operators/eventcollection.cpp
+++ b/packages/operators/eventcollection.cpp
@@ -61,8 +61,7 @@
         }
     }
     std::ranges::sort(selected, {}, &sortKey);
-    const auto repeated = std::ranges::unique(selected);
-    selected.erase(repeated.begin(), repeated.end());
+    selected.erase(std::unique(selected.begin(), selected.end()), selected.end());
     return selected;
 }
 
--- a/tests/ctl/controlprogramtest.cpp
+++ b/tests/ctl/controlprogramtest.cpp
@@ -153,3 +153,27 @@
     EXPECT_EQ(runProgram({"timeline", "--events", events, "--output", page}).exitCode, 0);
     EXPECT_TRUE(read(page).contains("FlowBroken"));
 }
+
+#ifdef RATTANPICK_HAS_CANDIDATE_TABLE
+// Guards against an explanation that leaves out a target or gives a wrong reason.
+TEST_F(ControlProgramTest, ExplainNamesEveryTarget)
+{
+    QByteArray text = read(regie);
+    text.replace("[data-centre escale]\nowner = regie-net\nregion = thies\nstate = in", "[data-centre escale]\nowner = regie-net\nregion = thies\nstate = out");
+    text.replace("agent = 127.10.1.2:6000\nweight = 100\nslots = 2\nconnections = 2000\nstate = in",
+                 "agent = 127.10.1.2:6000\nweight = 100\nslots = 2\nconnections = 2000\nstate = draining");
+    const std::string file = write("fleet.ini", text);
+    const ProgramRun run = runProgram({"explain", file, "--flow", "udp 127.0.0.1:4000 -> 127.10.0.1:7000"});
+    EXPECT_EQ(run.exitCode, 0) << run.err.toStdString();
+    EXPECT_TRUE(run.out.contains(QStringLiteral("3 of 7 targets serve"))) << run.out.toStdString();
+    for (const char *target : {"comptoir-3", "comptoir-5", "comptoir-6"}) {
+        EXPECT_TRUE(run.out.contains(QStringLiteral(". %1 (agent").arg(QLatin1String(target)))) << run.out.toStdString();
+    }
+    for (const char *target : {"comptoir-1", "comptoir-4", "comptoir-7"}) {
+        EXPECT_TRUE(run.out.contains(QStringLiteral("%1, data centre escale is out").arg(QLatin1String(target)))) << run.out.toStdString();
+    }
+    EXPECT_TRUE(run.out.contains(QStringLiteral("comptoir-2, draining"))) << run.out.toStdString();
+    EXPECT_EQ(runProgram({"explain", file, "--flow", "udp 127.0.0.1:4000 -> 127.10.0.9:7000"}).exitCode, 1);
+    EXPECT_EQ(runProgram({"explain", file, "--flow", "127.10.0.9:7000"}).exitCode, 2);
+}
+#endif
