--- a/packages/spread/pullschedule.cpp
+++ b/packages/spread/pullschedule.cpp
@@ -11,11 +11,14 @@
 /// Offers remembered: enough to try other peers when some of them fail.
 constexpr std::size_t maximumOffers = 8;
 
-/// Pulls at the same time: the first and two more when peers do not answer.
-constexpr std::size_t maximumPulls = 3;
+/// Pulls at the same time: the first and five more when peers do not answer. With 20% of the pulls lost, 4 at a time
+/// left some of 2,800 nodes without the version until the first time-out, which is too late for 4 s.
+constexpr std::size_t maximumPulls = 6;
 
-/// The time-out doubles at most this many times, so that a large document passes a slow link.
-constexpr int maximumDoublings = 4;
+/// The time-out doubles at most this many times, so that a large document passes a slow link. It does so only after
+/// more failures in a row than lost messages explain, since long time-outs of lost pulls keep a node from others.
+constexpr int maximumDoublings = 3;
+constexpr int toleratedFailures = 4;
 
 }
 
@@ -41,16 +44,13 @@
     std::erase_if(m_offers, [&version](const Offer &offer) { return offer.version <= version; });
 }
 
-std::optional<Endpoint> PullSchedule::startNext(TimePoint now)
+bool PullSchedule::mayStart(TimePoint now) const
+{
+    return m_pulls.size() < maximumPulls && std::ranges::all_of(m_pulls, [now](const auto &pull) { return now >= pull.second.hedgeDeadline; });
+}
+
+std::optional<Endpoint> PullSchedule::startOffered(TimePoint now)
 {
-    if (m_pulls.size() >= maximumPulls) {
-        return std::nullopt;
-    }
-    for (const auto &[admin, pull] : m_pulls) {
-        if (now < pull.hedgeDeadline) {
-            return std::nullopt;
-        }
-    }
     for (const Offer &offer : m_offers) {
         if (start(now, offer.admin)) {
             return offer.admin;
@@ -61,7 +61,7 @@
 
 bool PullSchedule::start(TimePoint now, const Endpoint &admin)
 {
-    const Duration timeout = m_timeout * (1 << std::min(m_failuresInARow, maximumDoublings));
+    const Duration timeout = m_timeout * (1 << std::clamp(m_failuresInARow - toleratedFailures, 0, maximumDoublings));
     return m_pulls.emplace(admin, Pull{now + m_hedge, now + timeout}).second;
 }
 
@@ -80,7 +80,7 @@
     std::erase_if(m_offers, [&admin](const Offer &offer) { return offer.admin == admin; });
 }
 
-bool PullSchedule::expire(TimePoint now)
+void PullSchedule::expire(TimePoint now)
 {
     std::vector<Endpoint> expired;
     for (const auto &[admin, pull] : m_pulls) {
@@ -91,7 +91,6 @@
     for (const Endpoint &admin : expired) {
         fail(admin);
     }
-    return !expired.empty();
 }
 
 }
--- a/packages/spread/pullschedule.h
+++ b/packages/spread/pullschedule.h
@@ -27,8 +27,11 @@
     /// Offers up to the version are void.
     void removeOffersUpTo(const ConfigurationVersion &version);
 
-    /// The peer to pull from now, which counts as pulling from then on; nothing if none is offered or a pull waits.
-    std::optional<Endpoint> startNext(TimePoint now);
+    /// Whether a pull may start: none is under way, or those under way have not been answered for a while.
+    bool mayStart(TimePoint now) const;
+
+    /// Starts a pull from an offered peer without one under way; nothing if there is none.
+    std::optional<Endpoint> startOffered(TimePoint now);
 
     /// Starts a pull without an offer; false if one from this peer is under way.
     bool start(TimePoint now, const Endpoint &admin);
@@ -39,14 +42,8 @@
     /// A pull failed; the peer's offer is void.
     void fail(const Endpoint &admin);
 
-    /// Ends the pulls whose time is over as failed; true if there was one.
-    bool expire(TimePoint now);
-
-    /// Whether a pull is under way.
-    bool isPulling() const
-    {
-        return !m_pulls.empty();
-    }
+    /// Ends the pulls whose time is over as failed.
+    void expire(TimePoint now);
 
     /// Pulls that failed or timed out since the start.
     quint64 failures() const
--- a/packages/spread/spreadnode.cpp
+++ b/packages/spread/spreadnode.cpp
@@ -26,7 +26,7 @@
 
 /// Bounds of the delay before a random peer is asked for a version whose known holders all failed.
 constexpr Duration retryMinimum = 100ms;
-constexpr Duration retryMaximum = 2s;
+constexpr Duration retryMaximum = 500ms;
 
 /// Which peers a random draw may give.
 enum class PeerScope : quint8 {
@@ -95,6 +95,8 @@
     std::unordered_map<Endpoint, int> answersInWindow;
     TimePoint answerWindowDeadline{};
     TimePoint nextComparison;
+    /// Until then comparisons are frequent.
+    TimePoint spreadDeadline{};
     TimePoint nextInstanceComparison;
     TimePoint joinDeadline = TimePoint::max();
     Backoff retryBackoff{retryMinimum, retryMaximum};
@@ -165,6 +167,8 @@
     if (isFirst) {
         joinDeadline = now + settings.joinLimit;
     }
+    spreadDeadline = now + settings.spreadTime;
+    nextComparison = std::min(nextComparison, now + settings.spreadInterval);
     pulls.removeOffersUpTo(store.version());
     retryBackoff.succeed();
     actions.push_back(Adopt{store.configuration()});
@@ -278,10 +282,12 @@
     if (now < nextComparison) {
         return;
     }
-    nextComparison = now + settings.antiEntropyInterval;
+    const bool isSpreading = now < spreadDeadline;
+    nextComparison = now + (isSpreading ? settings.spreadInterval : settings.antiEntropyInterval);
     const PeerScope scope = std::bernoulli_distribution(0.5)(random) ? PeerScope::OtherDataCentre : PeerScope::OwnDataCentre;
     if (const Instance *peer = randomPeer(scope)) {
-        sendNotice(peer->tunnel, true, actions);
+        // A peer with another version answers in any case.
+        sendNotice(peer->tunnel, !isSpreading, actions);
     }
 }
 
@@ -327,15 +333,16 @@
 
 void SpreadNode::Private::continuePulls(TimePoint now, SpreadActions &actions)
 {
-    if (pulls.expire(now)) {
-        retryBackoff.fail(now, random);
+    pulls.expire(now);
+    if (!pulls.mayStart(now)) {
+        return;
     }
-    if (const std::optional<Endpoint> admin = pulls.startNext(now)) {
+    if (const std::optional<Endpoint> admin = pulls.startOffered(now)) {
         pull(*admin, store.version(), actions);
         return;
     }
-    // All known holders of the version failed: any other peer may have it by now.
-    if (pulls.isPulling() || now >= highestHeardDeadline || !isWanted(highestHeard) || !retryBackoff.isDue(now)) {
+    // The known holders of the version failed or do not answer: any other peer may have it by now.
+    if (now >= highestHeardDeadline || !isWanted(highestHeard) || !retryBackoff.isDue(now)) {
         return;
     }
     retryBackoff.fail(now, random);
--- a/packages/spread/spreadnodesettings.h
+++ b/packages/spread/spreadnodesettings.h
@@ -29,6 +29,11 @@
     int pushFanOut = 4;
     /// Time between two comparisons with a random peer.
     Duration antiEntropyInterval = 1s;
+    /// Time between two comparisons while a new version spreads, and how long after its adoption that is. The push
+    /// misses about 2% of the nodes, and more when messages are lost; 1 s between comparisons leaves some of them
+    /// without the version for more than 4 s when 20% of the messages are lost.
+    Duration spreadInterval = 250ms;
+    Duration spreadTime = 3s;
     /// Time without any version heard after which a node reads the platform by itself.
     Duration silenceLimit = 10s;
     /// Bounds of the randomised back-off of platform calls.
@@ -44,10 +49,10 @@
     Duration platformTimeout = 45s;
     /// The shortest time between two calls for one subject, in case a faulty platform ends every watch at once.
     Duration platformPause = 200ms;
-    /// The longest wait for a peer's answer to the first pull; doubled after each failure in a row up to 16 times.
+    /// The longest wait for a peer's answer to a pull; doubled up to 8 times when many pulls in a row fail.
     Duration pullTimeout = 2s;
-    /// Time after which a second peer is asked while the first has not answered.
-    Duration pullHedge = 300ms;
+    /// Time after which a further peer is asked while the earlier ones have not answered.
+    Duration pullHedge = 250ms;
     /// Time between two comparisons of the instance list with a random peer by nodes that do not read it.
     Duration instanceInterval = 60s;
     /// Answers a second to notices of one peer.
