Bound the instance lists that a node gives to peers

Cause: after a mass restart of 21,800 processes the first nodes with the instance list gave it to too many others: the busiest node moved 28.8 KB/s over 60 s, above the target of 28 KB/s.

Ruled out: nodes that fetch the list from the platform instead; that is the stampede which the spread avoids.

Change: a budget of 600 KB of lists at once and 6 KB a second after that; who gets no list pulls it elsewhere.

--- a/packages/spread/spreadnode.cpp
+++ b/packages/spread/spreadnode.cpp
@@ -64,6 +64,7 @@
     void noteConflict(const ConfigurationVersion &version, SpreadActions &actions);
 
     // Pulls
+    void refillListBudget(TimePoint now);
     void pull(const Endpoint &admin, const ConfigurationVersion &from, SpreadActions &actions) const;
     void continuePulls(TimePoint now, SpreadActions &actions);
     void compareInstancesWithRandomPeer(TimePoint now, SpreadActions &actions);
@@ -84,6 +85,9 @@
     PauseGuard pauseGuard;
     PullSchedule pulls;
     InstanceSnapshotPointer snapshot;
+    /// Bytes of instance lists that may be given; a list is given while it is positive and may make it negative.
+    qint64 listBudget;
+    TimePoint nextRefill;
 
     // Peers
     ConfigurationVersion highestHeard;
@@ -119,6 +123,8 @@
     , store(givenStrategy.parser, givenSettings.deltaHistory, givenStrategy.accepts)
     , pauseGuard(givenSettings.pauseLimit, givenSettings.pauseHold)
     , pulls(givenSettings)
+    , listBudget(givenSettings.listBytesBurst)
+    , nextRefill(now + 1s)
     , nextComparison(now + randomDuration(givenSettings.antiEntropyInterval, random))
     , nextInstanceComparison(now + randomDuration(givenSettings.instanceInterval, random))
     , documentWatch(givenSettings)
@@ -326,6 +332,15 @@
 
 // Pulls
 
+void SpreadNode::Private::refillListBudget(TimePoint now)
+{
+    while (now >= nextRefill && listBudget < settings.listBytesBurst) {
+        listBudget = std::min(settings.listBytesBurst, listBudget + settings.listBytesPerSecond);
+        nextRefill += 1s;
+    }
+    nextRefill = std::max(nextRefill, now);
+}
+
 void SpreadNode::Private::pull(const Endpoint &admin, const ConfigurationVersion &from, SpreadActions &actions) const
 {
     actions.push_back(PullDocument{admin, from, snapshot ? snapshot->revision : 0});
@@ -538,8 +553,9 @@
 QByteArray SpreadNode::documentDelta(const ConfigurationVersion &from, quint64 instanceRevision) const
 {
     PeerAnswer answer = m_d->store.difference(from);
-    if (m_d->snapshot && m_d->snapshot->revision > instanceRevision) {
+    if (m_d->snapshot && m_d->snapshot->revision > instanceRevision && m_d->listBudget > 0) {
         answer.instances = m_d->snapshot->encoded;
+        m_d->listBudget -= answer.instances.size();
     }
     return answer.toBytes();
 }
@@ -579,6 +595,7 @@
         actions.push_back(RecordSpreadEvent{EventNumber::PauseNoticed, {}});
         m_d->sendNoticesToRandomPeers(true, actions);
     }
+    m_d->refillListBudget(now);
     m_d->readPlatform(now, actions);
     if (!m_d->strategy.usesPeers) {
         return;
--- a/packages/spread/spreadnodesettings.h
+++ b/packages/spread/spreadnodesettings.h
@@ -55,6 +55,10 @@
     Duration pullHedge = 250ms;
     /// Time between two comparisons of the instance list with a random peer by nodes that do not read it.
     Duration instanceInterval = 60s;
+    /// Bytes of instance lists that a node gives to peers: at once, and each second after that. Without a bound the
+    /// first nodes that have the list of 21,800 instances (190 KB) after a mass restart give it to too many others.
+    qint64 listBytesBurst = 600'000;
+    qint64 listBytesPerSecond = 6'000;
     /// Answers a second to notices of one peer.
     int answersPerSecond = 10;
     /// A longer time between two ticks is a pause of the process.
--- a/tests/spread/spreadnodetest.cpp
+++ b/tests/spread/spreadnodetest.cpp
@@ -232,6 +232,20 @@
     EXPECT_TRUE(node.isReady(fleet.now()));
 }
 
+// Guards against a node that gives a large instance list to all others at once after a mass restart.
+TEST(SpreadNodeTest, InstanceListsAreGivenWithinABudget)
+{
+    const SpreadStrategy strategy{.parser = SpreadFleet::parse};
+    SpreadNode node({.listBytesBurst = 1, .listBytesPerSecond = 1}, strategy, TimePoint{1h});
+    SpreadActions actions;
+    node.onInstanceList(TimePoint{1h}, {Instance{}}, actions, 5);
+    EXPECT_FALSE(PeerAnswer::fromBytes(node.documentDelta({}, 5))->instances.size() > 0) << "the asker has this revision";
+    EXPECT_TRUE(PeerAnswer::fromBytes(node.documentDelta({}, 4))->instances.size() > 0);
+    EXPECT_FALSE(PeerAnswer::fromBytes(node.documentDelta({}, 4))->instances.size() > 0);
+    node.onTick(TimePoint{1h} + 500s, actions);
+    EXPECT_TRUE(PeerAnswer::fromBytes(node.documentDelta({}, 4))->instances.size() > 0);
+}
+
 // Guards against two pulls from one peer at the same time.
 TEST(SpreadNodeTest, OnePullAtATimeForEachPeer)
 {
