Test that a joining node compares versions before it serves

Cause: a trial with the join rule removed passed the tests, since in the fleet peers reach a joining node before the stale platform does.

Change: a test of one node that gets the stale document first. It fails without the join rule. The fleet test checks readiness at every step.

--- a/tests/spread/spreadnodetest.cpp
+++ b/tests/spread/spreadnodetest.cpp
@@ -67,11 +67,62 @@
     for (int node = 0; node < 60; node += 7) {
         fleet.start(node);
     }
-    ASSERT_TRUE(fleet.runUntil([&] { return fleet.areAllReady(); }, 60s));
-    EXPECT_TRUE(fleet.isInForceEverywhere(text)) << "a node was ready with an old version";
+    bool wasReadyWithOld = false;
+    const auto areAllReady = [&] {
+        for (int node = 0; node < 60; node += 7) {
+            wasReadyWithOld = wasReadyWithOld || (fleet.node(node).isReady(fleet.now()) && fleet.node(node).configuration()->version().number < 5);
+        }
+        return fleet.areAllReady();
+    };
+    ASSERT_TRUE(fleet.runUntil(areAllReady, 60s));
+    EXPECT_FALSE(wasReadyWithOld);
+    EXPECT_TRUE(fleet.isInForceEverywhere(text));
     EXPECT_EQ(fleet.measures().reverts, 0U);
 }
 
+// Guards against a joining node that serves what a stale platform gave before it has compared versions with peers.
+TEST(SpreadNodeTest, JoiningNodeWaitsForTwoPeers)
+{
+    const TimePoint start{1h};
+    const SpreadStrategy strategy{.parser = SpreadFleet::parse};
+    const SpreadNodeSettings settings{.name = QStringLiteral("a"), .dataCentre = QStringLiteral("d")};
+    InstanceList instances;
+    for (quint32 index = 0; index < 3; ++index) {
+        instances.append({QString(QChar(u'a' + index)), InstanceRole::Agent, settings.dataCentre, {index, 1}, {index, 2}, {}, false});
+    }
+    const auto startNode = [&](SpreadNode &node, SpreadActions &actions) {
+        node.onInstanceList(start, instances, actions, 1);
+        node.onPlatformDocument(start, 1, SpreadFleet::makeDocument(1), actions);
+        node.onTick(start, actions);
+    };
+    const ConfigurationVersion version = SpreadFleet::parse(SpreadFleet::makeDocument(1)).configuration->version();
+    SpreadActions actions;
+
+    SpreadNode node(settings, strategy, start);
+    startNode(node, actions);
+    EXPECT_FALSE(node.isReady(start));
+    node.onPeerVersion(start, {1, 1}, version, VersionNotice{{1, 2}, false}, actions);
+    node.onPeerVersion(start, {1, 1}, version, VersionNotice{{1, 2}, false}, actions);
+    EXPECT_FALSE(node.isReady(start)) << "one peer twice";
+    node.onPeerVersion(start, {2, 1}, {9, 9}, VersionNotice{{2, 2}, false}, actions);
+    EXPECT_FALSE(node.isReady(start)) << "a peer has a later version that is not in force here";
+    node.onPeerVersion(start, {2, 1}, version, VersionNotice{{2, 2}, false}, actions);
+    EXPECT_TRUE(node.isReady(start));
+
+    // A node that no peer answers must still serve, and one without peers at once.
+    SpreadNode lone(settings, strategy, start);
+    startNode(lone, actions);
+    for (Duration passed = 100ms; passed <= 2s; passed += 100ms) {
+        EXPECT_FALSE(lone.isReady(start + passed - 100ms));
+        lone.onTick(start + passed, actions);
+    }
+    EXPECT_TRUE(lone.isReady(start + 2s));
+    instances = {instances[0]};
+    SpreadNode only(settings, strategy, start);
+    startNode(only, actions);
+    EXPECT_TRUE(only.isReady(start));
+}
+
 // The baseline shows what the rule guards against: without it the stale platform reverts every node.
 TEST(SpreadNodeTest, AcceptAnyBaselineReverts)
 {
