--- a/tests/spread/spreadnodetest.cpp
+++ b/tests/spread/spreadnodetest.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace Rattanpick;
 using Proof::SpreadFleet;
 using Proof::SpreadFleetSettings;
@@ -297,6 +299,25 @@
     EXPECT_TRUE(PeerAnswer::fromBytes(node.documentDelta({}, 4))->instances.size() > 0);
 }
 
+// Guards against daemons whose parser differs from the one that operators check their document with.
+TEST(SpreadNodeTest, DefaultParserIsTheDocumentReader)
+{
+    const QByteArray text = "[document]\nversion = 17\n[team net]\ncontact = net@example.org\n[data-centre north]\nowner = net\nregion = r1\nstate = in\n";
+    SpreadNode node({}, TimePoint{1h});
+    SpreadActions actions;
+    node.onPlatformDocument(TimePoint{1h}, 1, text, actions);
+    ASSERT_TRUE(node.configuration());
+    EXPECT_EQ(node.configuration()->version().number, 17U);
+    EXPECT_NE(node.configuration()->findDataCentre(QStringLiteral("north")), nullptr);
+    node.onPlatformDocument(TimePoint{1h}, 2, "[document]\nversion = 18\n[unknown]\n", actions);
+    EXPECT_EQ(node.configuration()->version().number, 17U);
+    const auto isRefusal = [](const SpreadAction &action) {
+        const auto *event = std::get_if<RecordSpreadEvent>(&action);
+        return event != nullptr && event->number == EventNumber::ConfigurationRefused && event->detail.contains(QLatin1String("unknown"));
+    };
+    EXPECT_EQ(std::ranges::count_if(actions, isRefusal), 1);
+}
+
 // Guards against two pulls from one peer at the same time.
 TEST(SpreadNodeTest, OnePullAtATimeForEachPeer)
 {
