--- a/packages/spread/spreadnode.cpp
+++ b/packages/spread/spreadnode.cpp
@@ -26,7 +26,7 @@
 
 /// Bounds of the delay before a random peer is asked for a version whose known holders all failed.
 constexpr Duration retryMinimum = 100ms;
-constexpr Duration retryMaximum = 2s;
+constexpr Duration retryMaximum = 500ms;
 
 /// Which peers a random draw may give.
 enum class PeerScope : quint8 {
@@ -64,6 +64,7 @@
     void noteConflict(const ConfigurationVersion &version, SpreadActions &actions);
 
     // Pulls
+    void refillListBudget(TimePoint now);
     void pull(const Endpoint &admin, const ConfigurationVersion &from, SpreadActions &actions) const;
     void continuePulls(TimePoint now, SpreadActions &actions);
     void compareInstancesWithRandomPeer(TimePoint now, SpreadActions &actions);
@@ -84,6 +85,9 @@
     PauseGuard pauseGuard;
     PullSchedule pulls;
     InstanceSnapshotPointer snapshot;
+    /// Bytes of instance lists that may be given; a list is given while it is positive and may make it negative.
+    qint64 listBudget;
+    TimePoint nextRefill;
 
     // Peers
     ConfigurationVersion highestHeard;
@@ -95,6 +99,8 @@
     std::unordered_map<Endpoint, int> answersInWindow;
     TimePoint answerWindowDeadline{};
     TimePoint nextComparison;
+    /// Until then comparisons are frequent.
+    TimePoint spreadDeadline{};
     TimePoint nextInstanceComparison;
     TimePoint joinDeadline = TimePoint::max();
     Backoff retryBackoff{retryMinimum, retryMaximum};
@@ -117,6 +123,8 @@
     , store(givenStrategy.parser, givenSettings.deltaHistory, givenStrategy.accepts)
     , pauseGuard(givenSettings.pauseLimit, givenSettings.pauseHold)
     , pulls(givenSettings)
+    , listBudget(givenSettings.listBytesBurst)
+    , nextRefill(now + 1s)
     , nextComparison(now + randomDuration(givenSettings.antiEntropyInterval, random))
     , nextInstanceComparison(now + randomDuration(givenSettings.instanceInterval, random))
     , documentWatch(givenSettings)
@@ -165,6 +173,8 @@
     if (isFirst) {
         joinDeadline = now + settings.joinLimit;
     }
+    spreadDeadline = now + settings.spreadTime;
+    nextComparison = std::min(nextComparison, now + settings.spreadInterval);
     pulls.removeOffersUpTo(store.version());
     retryBackoff.succeed();
     actions.push_back(Adopt{store.configuration()});
@@ -278,10 +288,12 @@
     if (now < nextComparison) {
         return;
     }
-    nextComparison = now + settings.antiEntropyInterval;
+    const bool isSpreading = now < spreadDeadline;
+    nextComparison = now + (isSpreading ? settings.spreadInterval : settings.antiEntropyInterval);
     const PeerScope scope = std::bernoulli_distribution(0.5)(random) ? PeerScope::OtherDataCentre : PeerScope::OwnDataCentre;
     if (const Instance *peer = randomPeer(scope)) {
-        sendNotice(peer->tunnel, true, actions);
+        // A peer with another version answers in any case.
+        sendNotice(peer->tunnel, !isSpreading, actions);
     }
 }
 
@@ -320,6 +332,15 @@
 
 // Pulls
 
+void SpreadNode::Private::refillListBudget(TimePoint now)
+{
+    while (now >= nextRefill && listBudget < settings.listBytesBurst) {
+        listBudget = std::min(settings.listBytesBurst, listBudget + settings.listBytesPerSecond);
+        nextRefill += 1s;
+    }
+    nextRefill = std::max(nextRefill, now);
+}
+
 void SpreadNode::Private::pull(const Endpoint &admin, const ConfigurationVersion &from, SpreadActions &actions) const
 {
     actions.push_back(PullDocument{admin, from, snapshot ? snapshot->revision : 0});
@@ -327,15 +348,16 @@
 
 void SpreadNode::Private::continuePulls(TimePoint now, SpreadActions &actions)
 {
-    if (pulls.expire(now)) {
-        retryBackoff.fail(now, random);
+    pulls.expire(now);
+    if (!pulls.mayStart(now)) {
+        return;
     }
-    if (const std::optional<Endpoint> admin = pulls.startNext(now)) {
+    if (const std::optional<Endpoint> admin = pulls.startOffered(now)) {
         pull(*admin, store.version(), actions);
         return;
     }
-    // All known holders of the version failed: any other peer may have it by now.
-    if (pulls.isPulling() || now >= highestHeardDeadline || !isWanted(highestHeard) || !retryBackoff.isDue(now)) {
+    // The known holders of the version failed or do not answer: any other peer may have it by now.
+    if (now >= highestHeardDeadline || !isWanted(highestHeard) || !retryBackoff.isDue(now)) {
         return;
     }
     retryBackoff.fail(now, random);
@@ -531,8 +553,9 @@
 QByteArray SpreadNode::documentDelta(const ConfigurationVersion &from, quint64 instanceRevision) const
 {
     PeerAnswer answer = m_d->store.difference(from);
-    if (m_d->snapshot && m_d->snapshot->revision > instanceRevision) {
+    if (m_d->snapshot && m_d->snapshot->revision > instanceRevision && m_d->listBudget > 0) {
         answer.instances = m_d->snapshot->encoded;
+        m_d->listBudget -= answer.instances.size();
     }
     return answer.toBytes();
 }
@@ -572,6 +595,7 @@
         actions.push_back(RecordSpreadEvent{EventNumber::PauseNoticed, {}});
         m_d->sendNoticesToRandomPeers(true, actions);
     }
+    m_d->refillListBudget(now);
     m_d->readPlatform(now, actions);
     if (!m_d->strategy.usesPeers) {
         return;
