--- a/proof/fakenetwork.cpp
+++ b/proof/fakenetwork.cpp
@@ -41,6 +41,16 @@
     m_settings = settings;
 }
 
+void FakeNetwork::setPairSettings(PartyId first, PartyId second, const LinkSettings &settings)
+{
+    m_pairSettings[std::minmax(first, second)] = settings;
+}
+
+void FakeNetwork::clearPairSettings(PartyId first, PartyId second)
+{
+    m_pairSettings.erase(std::minmax(first, second));
+}
+
 void FakeNetwork::cut(PartyId first, PartyId second)
 {
     // Cuts are counted, because two faults may cut the same pair at overlapping times.
@@ -84,15 +94,17 @@
 void FakeNetwork::sendDatagram(PartyId from, PartyId to, Delivery delivery)
 {
     // The draws are made in the same order whatever their results, so that shrinking one fault changes little else.
-    const bool isLost = draw(m_settings.loss);
-    const bool isRepeated = draw(m_settings.duplication);
-    const bool isDelayed = draw(m_settings.reordering);
+    const auto pair = m_pairSettings.find(std::minmax(from, to));
+    const LinkSettings &settings = pair != m_pairSettings.end() ? pair->second : m_settings;
+    const bool isLost = draw(settings.loss);
+    const bool isRepeated = draw(settings.duplication);
+    const bool isDelayed = draw(settings.reordering);
     const Duration latency = latencyOf(from, to);
     if (isLost || isCut(from, to)) {
         return;
     }
     const Duration extra =
-        isDelayed ? Duration(static_cast<qint64>(std::uniform_real_distribution<double>()(m_random) * static_cast<double>(m_settings.reorderDelay.count())))
+        isDelayed ? Duration(static_cast<qint64>(std::uniform_real_distribution<double>()(m_random) * static_cast<double>(settings.reorderDelay.count())))
                   : Duration::zero();
     if (isRepeated) {
         push(m_now + latency + extra + latencyOf(from, to), to, delivery, false);
--- a/proof/fakenetwork.h
+++ b/proof/fakenetwork.h
@@ -52,6 +52,12 @@
     /// Behaviour of all datagram links from now on.
     void setLinkSettings(const LinkSettings &settings);
 
+    /// Behaviour of datagrams between two parties from now on, in both directions, in place of the general one.
+    void setPairSettings(PartyId first, PartyId second, const LinkSettings &settings);
+
+    /// Ends setPairSettings().
+    void clearPairSettings(PartyId first, PartyId second);
+
     /// Messages of either kind between the two parties are lost while cut.
     void cut(PartyId first, PartyId second);
 
@@ -116,6 +122,7 @@
     quint64 m_sequence = 0;
     quint64 m_delivered = 0;
     LinkSettings m_settings;
+    std::map<std::pair<PartyId, PartyId>, LinkSettings> m_pairSettings;
     std::vector<int> m_sites;
     std::map<std::pair<int, int>, Duration> m_latencies;
     std::map<std::pair<PartyId, PartyId>, int> m_cuts;
--- a/proof/fault.cpp
+++ b/proof/fault.cpp
@@ -15,9 +15,9 @@
 {
 
 constexpr std::array<const char *, static_cast<std::size_t>(FaultKind::Count)> kindNames{
-    "KillBalancer", "KillAgent",     "StopAgent",      "FreezeBalancer",    "FreezeAgent",   "CutDataCentre", "CutAgent",         "CutBalancer",
-    "LossyNetwork", "RestartTarget", "TurnTargetCold", "SlowTarget",        "PlatformDown",  "PlatformStale", "PlatformRestored", "DrainTarget",
-    "AddTarget",    "RemoveTarget",  "ReweightTarget", "TakeOutDataCentre", "RaceDocuments", "ReuseAddress"};
+    "KillBalancer", "KillAgent", "StopAgent",     "FreezeBalancer", "FreezeAgent",       "CutDataCentre", "CutAgent",      "CutBalancer",
+    "LossyNetwork", "LossyPair", "RestartTarget", "TurnTargetCold", "SlowTarget",        "PlatformDown",  "PlatformStale", "PlatformRestored",
+    "DrainTarget",  "AddTarget", "RemoveTarget",  "ReweightTarget", "TakeOutDataCentre", "RaceDocuments", "ReuseAddress"};
 
 constexpr int minimumKinds = 3;
 constexpr int shortestMilliseconds = 200;
--- a/proof/fault.h
+++ b/proof/fault.h
@@ -24,6 +24,7 @@
     CutAgent,
     CutBalancer,
     LossyNetwork,
+    LossyPair,
     // Targets
     RestartTarget,
     TurnTargetCold,
--- a/proof/scenariorun.cpp
+++ b/proof/scenariorun.cpp
@@ -368,6 +368,18 @@
 
 // Processes
 
+void ScenarioRun::setPlatformDown(bool isDown)
+{
+    m_platform.setDown(isDown);
+    if (isDown) {
+        return;
+    }
+    for (const QString &name : m_startedAlone) {
+        m_history.append(moment(), name, DisturbanceEnded{});
+    }
+    m_startedAlone.clear();
+}
+
 void ScenarioRun::kill(std::size_t index)
 {
     ScenarioProcess &process = m_processes[index];
@@ -404,6 +416,11 @@
     ++process.life;
     process.incarnation = Incarnation{m_random() | 1U};
     m_history.append(moment(), process.name, ProcessBegan{});
+    if (m_platform.isDown()) {
+        // Instances keep nothing, so only the platform can tell a new process of the others.
+        m_history.append(moment(), process.name, DisturbanceBegan{});
+        m_startedAlone.push_back(process.name);
+    }
     process.source = makeSource(process);
     if (process.role == InstanceRole::Agent) {
         process.agent = makeAgent(process);
--- a/proof/scenariorun.h
+++ b/proof/scenariorun.h
@@ -67,6 +67,9 @@
 
     // Processes
 
+    /// Makes the platform fail, or answer again.
+    void setPlatformDown(bool isDown);
+
     /// Ends the process at once.
     void kill(std::size_t process);
 
@@ -206,6 +209,8 @@
     std::vector<std::unique_ptr<FakeCaller>> m_callers;
     /// By address: callers use another port for each flow.
     std::map<quint32, std::size_t> m_callerAt;
+    /// Processes that started while the platform was down, and so knew no other process.
+    std::vector<QString> m_startedAlone;
     quint64 m_extraHops = 0;
     quint64 m_forwardedPackets = 0;
 };
