Ask candidates for their load in large services

Ruled out: heartbeats to all targets, which grows with the square of the service; heartbeats to random targets, which refresh each load every 4 s at 70 targets. Change: a home asks the candidates of buckets that get openings for a heartbeat, at most once a second each.

--- a/packages/agent/failuredetector.cpp
+++ b/packages/agent/failuredetector.cpp
@@ -111,6 +111,13 @@
     spreadToService(Suspicion{m_context.self(), m_context.settings().incarnation, false, TargetId{}}, actions);
 }
 
+void FailureDetector::answerHeartbeat(const Hop &asker, bool isDraining, AgentActions &actions)
+{
+    if (!m_isStopping) {
+        m_context.send(asker, Heartbeat{isDraining, m_sequence + 1}, actions);
+    }
+}
+
 bool FailureDetector::onTick(TimePoint now, bool isDraining, AgentActions &actions)
 {
     const int change = std::abs(static_cast<int>(m_context.loadPermille()) - m_toldLoadPermille);
--- a/packages/agent/failuredetector.h
+++ b/packages/agent/failuredetector.h
@@ -38,6 +38,9 @@
     /// Tells others not to use this agent as home: it stops as planned.
     void announceStop(AgentActions &actions);
 
+    /// Sends one heartbeat to an agent that has asked for it.
+    void answerHeartbeat(const Hop &asker, bool isDraining, AgentActions &actions);
+
     /// Sends heartbeats and reports that are due; true if the set of suspected peers has changed.
     bool onTick(TimePoint now, bool isDraining, AgentActions &actions);
 
--- a/packages/agent/openingplacer.cpp
+++ b/packages/agent/openingplacer.cpp
@@ -32,6 +32,7 @@
         return;
     }
 
+    askForLoads(now, flow, actions);
     Pending &pending = m_pending[key];
     for (const Hop &home : earlierHomesOf(flow)) {
         pending.awaited.insert(home.target);
@@ -189,6 +190,19 @@
     return homes;
 }
 
+void OpeningPlacer::askForLoads(TimePoint now, const FlowKey &flow, AgentActions &actions)
+{
+    // In a large service heartbeats reach a few agents only, so a home asks the candidates of the buckets that get openings.
+    for (const Hop &hop : m_context.candidatesOf(flow)) {
+        const bool isOther = hop.target != TargetId{} && hop.target != m_context.settings().target;
+        if (!isOther || m_context.peers().isSuspected(hop.target) || !m_context.peers().needsLoad(now, hop.target)) {
+            continue;
+        }
+        m_context.peers().setLoadAsked(now, hop.target);
+        m_context.send(hop, Heartbeat{false, 0}, actions);
+    }
+}
+
 std::vector<Hop> OpeningPlacer::orderedCandidates(TimePoint now, const FlowKey &flow)
 {
     struct Candidate
--- a/packages/agent/openingplacer.h
+++ b/packages/agent/openingplacer.h
@@ -87,6 +87,7 @@
     };
 
     std::vector<Hop> earlierHomesOf(const FlowKey &flow) const;
+    void askForLoads(TimePoint now, const FlowKey &flow, AgentActions &actions);
     std::vector<Hop> orderedCandidates(TimePoint now, const FlowKey &flow);
     void startOffering(TimePoint now, const Key &key, AgentActions &actions);
     void tryNextCandidate(TimePoint now, const Key &key, AgentActions &actions);
--- a/packages/agent/peermessagehandler.cpp
+++ b/packages/agent/peermessagehandler.cpp
@@ -249,8 +249,11 @@
 {
 }
 
-void PeerMessageHandler::handle(TimePoint /*now*/, const PeerMessage & /*message*/, const Heartbeat & /*heartbeat*/, AgentActions & /*actions*/)
+void PeerMessageHandler::handle(TimePoint /*now*/, const PeerMessage &message, const Heartbeat &heartbeat, AgentActions &actions)
 {
+    if (heartbeat.sequence == 0 && message.header.sender != TargetId{}) {
+        m_detector.answerHeartbeat(senderOf(message), m_conditions.isDraining(), actions);
+    }
 }
 
 void PeerMessageHandler::handle(TimePoint now, const PeerMessage & /*message*/, const Suspicion &suspicion, AgentActions &actions)
--- a/packages/agent/peermessagehandler.h
+++ b/packages/agent/peermessagehandler.h
@@ -32,8 +32,8 @@
 private:
     void noteHeader(TimePoint now, const PeerMessage &message, AgentActions &actions);
 
-    // One handler for each kind of body. Versions and signs of life are taken from every header, so that
-    // notices and heartbeats need no more.
+    // One handler for each kind of body. Versions, loads and signs of life are taken from every header, so
+    // that notices need no more.
     void handle(TimePoint now, const PeerMessage &message, const Forward &forward, AgentActions &actions);
     void handle(TimePoint now, const PeerMessage &message, const Offer &offer, AgentActions &actions);
     void handle(TimePoint now, const PeerMessage &message, const Accepted &accepted, AgentActions &actions);
--- a/packages/agent/peerview.cpp
+++ b/packages/agent/peerview.cpp
@@ -22,6 +22,7 @@
     peer.version = std::max(peer.version, header.version);
     peer.seenAt = now;
     peer.loadDeadline = now + loadLifetime;
+    peer.askDeadline = now + loadRefresh;
     peer.loadPermille = header.loadPermille;
     return isNewIncarnation;
 }
@@ -39,6 +40,11 @@
     return isChange;
 }
 
+void PeerView::setLoadAsked(TimePoint now, TargetId target)
+{
+    m_peers[static_cast<quint32>(target)].askDeadline = now + loadRefresh;
+}
+
 void PeerView::addExpectedLoad(TargetId target, int permille)
 {
     m_peers[static_cast<quint32>(target)].loadPermille += permille;
@@ -66,6 +72,12 @@
     return peer->loadPermille;
 }
 
+bool PeerView::needsLoad(TimePoint now, TargetId target) const
+{
+    const Peer *peer = find(target);
+    return !peer || !peer->askDeadline || now >= *peer->askDeadline;
+}
+
 Incarnation PeerView::incarnationOf(TargetId target) const
 {
     const Peer *peer = find(target);
--- a/packages/agent/peerview.h
+++ b/packages/agent/peerview.h
@@ -17,6 +17,9 @@
 public:
     /// How long a reported load counts; later the peer's load is unknown.
     static constexpr Duration loadLifetime = 2s;
+    /// The shortest time between two questions for the load of one peer. A home has at most 128 other candidates in its
+    /// 64 buckets, so that questions and answers of some 130 bytes stay under 28 KB a second together with all else.
+    static constexpr Duration loadRefresh = 1s;
 
     // Observation
 
@@ -29,6 +32,9 @@
     /// Marks the peer as suspected dead, or no longer; true if that is new.
     bool setSuspected(TargetId target, bool isSuspected);
 
+    /// The peer is asked for its load now.
+    void setLoadAsked(TimePoint now, TargetId target);
+
     /// Raises the peer's load until its next message, for a flow that it has just been given.
     void addExpectedLoad(TargetId target, int permille);
 
@@ -43,6 +49,9 @@
     /// Load in permille, or nothing if the peer has not told it lately.
     std::optional<int> loadOf(TimePoint now, TargetId target) const;
 
+    /// Whether the peer should be asked for its load: it is unknown or older than loadRefresh, and was not asked for since.
+    bool needsLoad(TimePoint now, TargetId target) const;
+
     /// The incarnation of the peer's process; 0 if not known.
     Incarnation incarnationOf(TargetId target) const;
 
@@ -62,6 +71,8 @@
         Incarnation incarnation{};
         std::optional<TimePoint> seenAt;
         std::optional<TimePoint> loadDeadline;
+        /// When the peer may be asked for its load again.
+        std::optional<TimePoint> askDeadline;
         int loadPermille = 0;
         bool isSuspected = false;
         bool isListedGone = false;
--- a/packages/fabric/peermessage.h
+++ b/packages/fabric/peermessage.h
@@ -168,7 +168,7 @@
 struct Heartbeat
 {
     bool isDraining = false;
-    /// Heartbeats to the receiver are numbered from 1 in each incarnation.
+    /// Heartbeats are numbered from 1 in each incarnation; 0 asks the receiver for a heartbeat, which tells its load.
     quint64 sequence = 0;
 
     bool operator==(const Heartbeat &) const = default;
