--- a/packages/agent/targetagent.cpp
+++ b/packages/agent/targetagent.cpp
@@ -111,7 +111,7 @@
 }
 
 TargetAgent::TargetAgent(const TargetAgentSettings &settings, TimePoint now)
-    : d(std::make_unique<Private>(settings, now))
+    : m_d(std::make_unique<Private>(settings, now))
 {
 }
 
@@ -122,101 +122,101 @@
 void TargetAgent::applyConfiguration(TimePoint now, const ConfigurationPointer &configuration, AgentActions &actions)
 {
     RP_ASSERT(configuration != nullptr);
-    RP_ASSERT(configuration->version() > d->m_context.version());
-    d->step(now, actions);
+    RP_ASSERT(configuration->version() > m_d->m_context.version());
+    m_d->step(now, actions);
     // Numbers that rise by one leave no version out; after a gap the tables between are unknown.
-    if (configuration->version().number != d->m_context.version().number + 1) {
-        d->m_placer.setCompleteSince(configuration->version());
+    if (configuration->version().number != m_d->m_context.version().number + 1) {
+        m_d->m_placer.setCompleteSince(configuration->version());
     }
-    d->m_context.tables().applyConfiguration(configuration);
-    d->applyLimits(*configuration);
-    d->m_detector.recompute(now);
-    d->m_recovery.begin(now, actions);
-    d->m_flows.registrar().recompute(now, d->m_flows.table());
-    d->updateFence(now, actions);
-    d->m_flows.requests().refuseNewRequests(d->m_conditions.requestRefusal());
-    d->m_flows.refreshHeader(now);
-    d->m_path.onConfiguration(now, actions);
+    m_d->m_context.tables().applyConfiguration(configuration);
+    m_d->applyLimits(*configuration);
+    m_d->m_detector.recompute(now);
+    m_d->m_recovery.begin(now, actions);
+    m_d->m_flows.registrar().recompute(now, m_d->m_flows.table());
+    m_d->updateFence(now, actions);
+    m_d->m_flows.requests().refuseNewRequests(m_d->m_conditions.requestRefusal());
+    m_d->m_flows.refreshHeader(now);
+    m_d->m_path.onConfiguration(now, actions);
 }
 
 void TargetAgent::setListedLive(TargetId target, bool isLive)
 {
-    d->m_context.peers().setListedLive(target, isLive);
+    m_d->m_context.peers().setListedLive(target, isLive);
 }
 
 void TargetAgent::setLeaving(TimePoint now, bool isLeaving, AgentActions &actions)
 {
-    d->step(now, actions);
-    d->m_conditions.isListedLeaving = isLeaving;
-    d->m_flows.requests().refuseNewRequests(d->m_conditions.requestRefusal());
+    m_d->step(now, actions);
+    m_d->m_conditions.isListedLeaving = isLeaving;
+    m_d->m_flows.requests().refuseNewRequests(m_d->m_conditions.requestRefusal());
 }
 
 // Messages
 
 void TargetAgent::onPeerMessage(TimePoint now, const PeerMessage &message, AgentActions &actions)
 {
-    d->step(now, actions);
-    d->m_peerMessages.onMessage(now, message, actions);
+    m_d->step(now, actions);
+    m_d->m_peerMessages.onMessage(now, message, actions);
 }
 
 void TargetAgent::onTargetReply(TimePoint now, const TargetReply &reply, AgentActions &actions)
 {
-    d->step(now, actions);
-    d->m_targetLink.onReply(now, reply, actions);
+    m_d->step(now, actions);
+    m_d->m_targetLink.onReply(now, reply, actions);
 }
 
 void TargetAgent::onTick(TimePoint now, AgentActions &actions)
 {
-    d->step(now, actions);
-    if (!d->m_context.configuration()) {
+    m_d->step(now, actions);
+    if (!m_d->m_context.configuration()) {
         return;
     }
-    d->m_flows.onTick(now, actions);
-    d->m_placer.onTick(now, actions);
-    d->m_recovery.onTick(now, actions);
-    if (d->m_detector.onTick(now, d->m_conditions.isDraining(), actions)) {
-        d->m_flows.registrar().recompute(now, d->m_flows.table());
+    m_d->m_flows.onTick(now, actions);
+    m_d->m_placer.onTick(now, actions);
+    m_d->m_recovery.onTick(now, actions);
+    if (m_d->m_detector.onTick(now, m_d->m_conditions.isDraining(), actions)) {
+        m_d->m_flows.registrar().recompute(now, m_d->m_flows.table());
     }
-    d->m_path.onTick(now, actions);
-    d->endFence(now, actions);
+    m_d->m_path.onTick(now, actions);
+    m_d->endFence(now, actions);
 }
 
 // Planned stop
 
 void TargetAgent::beginStop(TimePoint now, AgentActions &actions)
 {
-    d->step(now, actions);
-    if (d->m_conditions.stopDeadline) {
+    m_d->step(now, actions);
+    if (m_d->m_conditions.stopDeadline) {
         return;
     }
-    d->m_conditions.stopDeadline = now + d->m_context.settings().stopLinger;
-    d->m_flows.requests().refuseNewRequests(d->m_conditions.requestRefusal());
-    d->m_flows.refreshHeader(now);
+    m_d->m_conditions.stopDeadline = now + m_d->m_context.settings().stopLinger;
+    m_d->m_flows.requests().refuseNewRequests(m_d->m_conditions.requestRefusal());
+    m_d->m_flows.refreshHeader(now);
     actions.emplace_back(RecordEvent{EventNumber::ProcessStopping, {}, 0, QStringLiteral("planned stop")});
-    d->m_detector.announceStop(actions);
+    m_d->m_detector.announceStop(actions);
 }
 
 bool TargetAgent::isStopped() const
 {
-    return d->m_conditions.stopDeadline && d->m_latestStep >= *d->m_conditions.stopDeadline && d->m_flows.requests().isIdle();
+    return m_d->m_conditions.stopDeadline && m_d->m_latestStep >= *m_d->m_conditions.stopDeadline && m_d->m_flows.requests().isIdle();
 }
 
 TargetAgentStatus TargetAgent::status(TimePoint now) const
 {
-    const FlowAdmission::State state = d->m_flows.admissionState(now);
+    const FlowAdmission::State state = m_d->m_flows.admissionState(now);
     TargetAgentStatus status;
-    status.version = d->m_context.version();
+    status.version = m_d->m_context.version();
     status.isRecovering = state.isRecovering;
     status.isDraining = state.isDraining;
     status.isStopping = state.isStopping;
     status.isFenced = state.isDataCentreOut;
     status.ownedFlows = state.ownedFlows;
-    status.directoryEntries = d->m_flows.directory().size();
-    status.unconfirmedEntries = d->m_flows.registrar().unconfirmed();
-    status.pendingOpenings = d->m_placer.pendingCount();
-    status.queuedRequests = d->m_flows.requests().queuedRequests();
-    status.deliveredRequests = d->m_flows.requests().deliveredRequests();
-    status.loadPermille = d->m_context.loadPermille();
+    status.directoryEntries = m_d->m_flows.directory().size();
+    status.unconfirmedEntries = m_d->m_flows.registrar().unconfirmed();
+    status.pendingOpenings = m_d->m_placer.pendingCount();
+    status.queuedRequests = m_d->m_flows.requests().queuedRequests();
+    status.deliveredRequests = m_d->m_flows.requests().deliveredRequests();
+    status.loadPermille = m_d->m_context.loadPermille();
     status.warmPermille = static_cast<quint16>(state.warmPermille);
     return status;
 }
