Write the values of platform tests at once

Cause: PlatformClientTest.LargeValueKeepsTheEarlierOne failed once in a full run: the stand-in's polling thread read the file while the test was writing it, and half a value is below the size limit. Change: the test replaces files by QSaveFile, as operators' tools must.

--- a/tests/platform/platformclienttest.cpp
+++ b/tests/platform/platformclienttest.cpp
@@ -7,7 +7,7 @@
 
 #include <QCoreApplication>
 #include <QDir>
-#include <QFile>
+#include <QSaveFile>
 #include <QTemporaryDir>
 
 #include <thread>
@@ -34,10 +34,11 @@
 
     void write(const QString &name, const QByteArray &text)
     {
-        QFile file(m_directory.filePath(name));
+        // Written at once, since the stand-in polls in a thread of its own and must not read half a value.
+        QSaveFile file(m_directory.filePath(name));
         ASSERT_TRUE(file.open(QIODevice::WriteOnly));
         file.write(text);
-        file.close();
+        ASSERT_TRUE(file.commit());
         if (m_standIn) {
             m_standIn->poll();
         }
