Hand retried requests to settled agents only

Ruled out: a shorter settling time, which would let parts of two runs be joined as one answer. Change: only peers whose headers show no recovery are candidates for a retry; without one the request is refused as not run.

--- a/packages/agent/agentcontext.cpp
+++ b/packages/agent/agentcontext.cpp
@@ -51,7 +51,7 @@
     return {};
 }
 
-Hop AgentContext::leastLoadedOther(TimePoint now, const FlowKey &flow) const
+Hop AgentContext::retryCandidate(TimePoint now, const FlowKey &flow) const
 {
     Hop best;
     int bestLoad = 0;
@@ -59,6 +59,10 @@
         if (candidate.target == TargetId{} || candidate.target == m_settings.target || m_peers.isSuspected(candidate.target)) {
             continue;
         }
+        // An agent that has just started cannot know whether an earlier process ran the request, and would call its outcome unknown.
+        if (!m_peers.isSettled(candidate.target)) {
+            continue;
+        }
         const int load = m_peers.loadOf(now, candidate.target).value_or(m_loadPermille);
         if (best.target == TargetId{} || load < bestLoad) {
             best = candidate;
--- a/packages/agent/agentcontext.h
+++ b/packages/agent/agentcontext.h
@@ -67,8 +67,8 @@
     /// The first candidate of the flow that is not suspected; target 0 if there is none.
     Hop homeOf(const FlowKey &flow) const;
 
-    /// The candidate other than this agent with the lowest load that is not suspected; target 0 if there is none.
-    Hop leastLoadedOther(TimePoint now, const FlowKey &flow) const;
+    /// The other candidate that may run a retried request: the least loaded one that is settled and not suspected; target 0 if there is none.
+    Hop retryCandidate(TimePoint now, const FlowKey &flow) const;
 
     /// Where the agent of the target listens: by the configuration if it names the target, else as given.
     Hop currentHop(const Hop &hop) const;
--- a/packages/agent/ownedflows.cpp
+++ b/packages/agent/ownedflows.cpp
@@ -190,7 +190,7 @@
             continue;
         }
         const RetryElsewhere request = *retry;
-        const Hop candidate = m_context.leastLoadedOther(now, request.flow);
+        const Hop candidate = m_context.retryCandidate(now, request.flow);
         AgentActions replacement;
         if (candidate.target == TargetId{}) {
             m_requests.onRetryNotPlaced(now, request.flow, request.request.nonce, request.request.number, replacement);
--- a/packages/agent/peerview.cpp
+++ b/packages/agent/peerview.cpp
@@ -24,6 +24,7 @@
     peer.loadDeadline = now + loadLifetime;
     peer.askDeadline = now + loadRefresh;
     peer.loadPermille = header.loadPermille;
+    peer.isSettled = (header.flags & TunnelHeader::recoveryFlag) == 0;
     return isNewIncarnation;
 }
 
@@ -84,6 +85,12 @@
     return peer ? peer->incarnation : Incarnation{};
 }
 
+bool PeerView::isSettled(TargetId target) const
+{
+    const Peer *peer = find(target);
+    return peer && peer->isSettled;
+}
+
 bool PeerView::isSuspected(TargetId target) const
 {
     const Peer *peer = find(target);
--- a/packages/agent/peerview.h
+++ b/packages/agent/peerview.h
@@ -55,6 +55,9 @@
     /// The incarnation of the peer's process; 0 if not known.
     Incarnation incarnationOf(TargetId target) const;
 
+    /// Whether the peer has said of itself that it is long enough in service to know its flows and requests.
+    bool isSettled(TargetId target) const;
+
     /// Whether the peer is suspected dead.
     bool isSuspected(TargetId target) const;
 
@@ -74,6 +77,7 @@
         /// When the peer may be asked for its load again.
         std::optional<TimePoint> askDeadline;
         int loadPermille = 0;
+        bool isSettled = false;
         bool isSuspected = false;
         bool isListedGone = false;
     };
--- a/proof/fakecaller.cpp
+++ b/proof/fakecaller.cpp
@@ -297,7 +297,7 @@
 };
 
 FakeCaller::FakeCaller(const FakeCallerSettings &settings, History &history, Send send)
-    : d(std::make_unique<Private>(settings, history, std::move(send)))
+    : m_d(std::make_unique<Private>(settings, history, std::move(send)))
 {
 }
 
@@ -305,73 +305,73 @@
 
 void FakeCaller::start(TimePoint now)
 {
-    d->open(now);
+    m_d->open(now);
 }
 
 void FakeCaller::onMessage(TimePoint now, const FlowKey &flow, const CallerMessage &message)
 {
-    if (!d->session || flow != d->flow) {
+    if (!m_d->session || flow != m_d->flow) {
         return;
     }
-    if (const auto *ack = std::get_if<DataAck>(&message); ack != nullptr && ack->nonce == d->session->nonce()) {
-        d->onDataAck(now, *ack);
-        d->checkSequence = d->checkSequence == ack->sequence ? std::nullopt : d->checkSequence;
+    if (const auto *ack = std::get_if<DataAck>(&message); ack != nullptr && ack->nonce == m_d->session->nonce()) {
+        m_d->onDataAck(now, *ack);
+        m_d->checkSequence = m_d->checkSequence == ack->sequence ? std::nullopt : m_d->checkSequence;
     }
-    if (const auto *part = std::get_if<AnswerPart>(&message); part != nullptr && d->settings.ignoresIdentity) {
-        d->assembleNaively(now, *part);
+    if (const auto *part = std::get_if<AnswerPart>(&message); part != nullptr && m_d->settings.ignoresIdentity) {
+        m_d->assembleNaively(now, *part);
     }
     CallerActions actions;
-    d->session->onMessage(now, message, actions);
-    d->carryOut(now, actions);
+    m_d->session->onMessage(now, message, actions);
+    m_d->carryOut(now, actions);
 }
 
 void FakeCaller::onTick(TimePoint now)
 {
-    d->tick(now);
+    m_d->tick(now);
 }
 
 void FakeCaller::stopRequests()
 {
-    d->isStopped = true;
+    m_d->isStopped = true;
 }
 
 void FakeCaller::beginCheck(TimePoint now)
 {
-    if (!d->session || !d->session->isOpen() || d->isClosing) {
+    if (!m_d->session || !m_d->session->isOpen() || m_d->isClosing) {
         return;
     }
     CallerActions actions;
     // A full window means that nothing has been acknowledged for long; no sequence has the number 0.
-    d->checkSequence = d->session->sendData(now, QByteArrayLiteral("check"), actions).value_or(0);
-    d->carryOut(now, actions);
+    m_d->checkSequence = m_d->session->sendData(now, QByteArrayLiteral("check"), actions).value_or(0);
+    m_d->carryOut(now, actions);
 }
 
 void FakeCaller::endCheck(TimePoint now)
 {
-    if (d->checkSequence && d->session->isOpen()) {
-        d->onBroken(now, QStringLiteral("no answer"));
+    if (m_d->checkSequence && m_d->session->isOpen()) {
+        m_d->onBroken(now, QStringLiteral("no answer"));
     }
-    d->checkSequence.reset();
+    m_d->checkSequence.reset();
 }
 
 const CallerCounts &FakeCaller::counts() const
 {
-    return d->counts;
+    return m_d->counts;
 }
 
 const std::vector<CallerWait> &FakeCaller::dataWaits() const
 {
-    return d->dataWaits;
+    return m_d->dataWaits;
 }
 
 const std::vector<CallerWait> &FakeCaller::openWaits() const
 {
-    return d->openWaits;
+    return m_d->openWaits;
 }
 
 const std::vector<CallerWait> &FakeCaller::requestWaits() const
 {
-    return d->requestWaits;
+    return m_d->requestWaits;
 }
 
 }
--- a/proof/fakecaller.h
+++ b/proof/fakecaller.h
@@ -77,7 +77,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 }
--- a/tests/agent/targetagenttest.cpp
+++ b/tests/agent/targetagenttest.cpp
@@ -1,5 +1,7 @@
 #include "agentbench.h"
 
+#include <agent/agentcontext.h>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -485,3 +487,24 @@
         RC_ASSERT(named.size() <= 1U);
     }
 }
+
+// Guards against a retried request that goes to an agent which has just started and must call its outcome unknown.
+TEST(TargetAgentTest, RetriesGoToSettledAgentsOnly)
+{
+    for (const quint8 flags : {quint8{0}, TunnelHeader::recoveryFlag}) {
+        TargetAgentSettings settings;
+        settings.target = AgentBench::target(0).id;
+        settings.service = AgentBench::service().id;
+        settings.incarnation = Incarnation{1};
+        AgentContext context(settings);
+        const AgentBench bench(2);
+        context.tables().applyConfiguration(bench.configuration(1));
+        TunnelHeader header;
+        header.sender = AgentBench::target(1).id;
+        header.senderIncarnation = Incarnation{2};
+        header.flags = flags;
+        context.peers().onMessage(bench.now(), header);
+        const bool isChosen = context.retryCandidate(bench.now(), AgentBench::flow(1)).target == AgentBench::target(1).id;
+        EXPECT_EQ(isChosen, flags == 0);
+    }
+}
