Give the operators' client the status columns that it shows

Cause: rattanpickctl status expects version, state, flows and refusals, while daemons nested them under other keys, so that the columns were empty; metrics were not shown either. Change: processStatus() makes the columns from the decisions and the drop counters and includes the metrics; the time of each decision step is a histogram.

--- a/apps/rattanpickd/daemon.cpp
+++ b/apps/rattanpickd/daemon.cpp
@@ -3,6 +3,7 @@
 #include "agentduty.h"
 #include "balancerduty.h"
 #include "configurationduty.h"
+#include "processstatus.h"
 #include "receiveduty.h"
 #include "sendduty.h"
 
@@ -65,13 +66,19 @@
 {
     AdminHandlers handlers;
     handlers.status = [&context, &decisions, &configuration] {
-        return QJsonObject{{QStringLiteral("name"), context.settings.name},
-                           {QStringLiteral("role"), context.settings.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent")},
-                           {QStringLiteral("dataCentre"), context.settings.dataCentre},
-                           {QStringLiteral("incarnation"), QString::number(static_cast<quint64>(context.incarnation), 16)},
-                           {QStringLiteral("lamport"), QString::number(context.log.lamport())},
-                           {QStringLiteral("configuration"), configuration.status()},
-                           {QStringLiteral("decisions"), decisions.status()}};
+        QJsonObject status = processStatus(decisions.status(), context.metrics.snapshot());
+        const QJsonObject identity{
+            {QStringLiteral("name"), context.settings.name},
+            {QStringLiteral("role"), context.settings.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent")},
+            {QStringLiteral("dataCentre"), context.settings.dataCentre},
+            {QStringLiteral("incarnation"), QString::number(static_cast<quint64>(context.incarnation), 16)},
+            {QStringLiteral("lamport"), QString::number(context.log.lamport())},
+            {QStringLiteral("configuration"), configuration.status()},
+            {QStringLiteral("decisions"), decisions.status()}};
+        for (const QString &key : identity.keys()) {
+            status.insert(key, identity.value(key));
+        }
+        return status;
     };
     handlers.events = [&context](quint64 sinceLamport) {
         return AdminEvents{context.log.eventsSince(sinceLamport), context.log.overwritten()};
--- a/apps/rattanpickd/decisionduty.cpp
+++ b/apps/rattanpickd/decisionduty.cpp
@@ -23,11 +23,15 @@
 
 void DecisionDuty::run()
 {
+    Histogram &stepTimes = m_context.metrics.histogram(QStringLiteral("decision.step-microseconds"));
     while (!m_context.isEnding) {
         m_context.decisionWakeup.arm();
+        const TimePoint begin = Clock::now();
         if (!step()) {
             m_context.decisionWakeup.wait(tickInterval);
+            continue;
         }
+        stepTimes.add(std::chrono::duration<double, std::micro>(Clock::now() - begin).count());
     }
 }
 
