Take the status of a daemon from one reading

Cause: a reading of the whole change found that the status handler asked the decisions twice, so that its columns and its details could come from different moments, built a second object only to copy it key by key, and spelled the role's name at two places. Change: one reading of the decisions, keys inserted directly, roleName() for both places. Behaviour stays as it was otherwise.

--- a/apps/rattanpickd/daemon.cpp
+++ b/apps/rattanpickd/daemon.cpp
@@ -61,23 +61,25 @@
     return std::make_unique<AgentDuty>(context);
 }
 
+QString roleName(DaemonRole role)
+{
+    return role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent");
+}
+
 /// What operators ask a process; the handlers outlive the admin server.
 AdminHandlers adminHandlers(const DaemonContext &context, const DecisionDuty &decisions, const ConfigurationDuty &configuration)
 {
     AdminHandlers handlers;
     handlers.status = [&context, &decisions, &configuration] {
-        QJsonObject status = processStatus(decisions.status(), context.metrics.snapshot());
-        const QJsonObject identity{
-            {QStringLiteral("name"), context.settings.name},
-            {QStringLiteral("role"), context.settings.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent")},
-            {QStringLiteral("dataCentre"), context.settings.dataCentre},
-            {QStringLiteral("incarnation"), QString::number(static_cast<quint64>(context.incarnation), 16)},
-            {QStringLiteral("lamport"), QString::number(context.log.lamport())},
-            {QStringLiteral("configuration"), configuration.status()},
-            {QStringLiteral("decisions"), decisions.status()}};
-        for (const QString &key : identity.keys()) {
-            status.insert(key, identity.value(key));
-        }
+        const QJsonObject decided = decisions.status();
+        QJsonObject status = processStatus(decided, context.metrics.snapshot());
+        status.insert(QStringLiteral("name"), context.settings.name);
+        status.insert(QStringLiteral("role"), roleName(context.settings.role));
+        status.insert(QStringLiteral("dataCentre"), context.settings.dataCentre);
+        status.insert(QStringLiteral("incarnation"), QString::number(static_cast<quint64>(context.incarnation), 16));
+        status.insert(QStringLiteral("lamport"), QString::number(context.log.lamport()));
+        status.insert(QStringLiteral("configuration"), configuration.status());
+        status.insert(QStringLiteral("decisions"), decided);
         return status;
     };
     handlers.events = [&context](quint64 sinceLamport) {
@@ -118,7 +120,7 @@
         std::fprintf(stderr, "rattanpickd: %s\n", qPrintable(admin.lastError()));
         return 1;
     }
-    context.log.record(EventNumber::ProcessStarted, settings.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent"));
+    context.log.record(EventNumber::ProcessStarted, roleName(settings.role));
 
     std::thread sendThread([&send] { send.run(); });
     std::thread decisionThread([&decisions] { decisions->run(); });
