--- a/apps/rattanpickd/configurationduty.h
+++ b/apps/rattanpickd/configurationduty.h
@@ -4,7 +4,7 @@
 #include "daemoncontext.h"
 #include "platformclienthandle.h"
 
-#include "platform/platformclient.h"
+#include "configservice/platformclient.h"
 #include "spread/spreadnode.h"
 
 #include <QJsonObject>
--- a/apps/rattanpickd/dutymessages.h
+++ b/apps/rattanpickd/dutymessages.h
@@ -2,11 +2,11 @@
 
 #include "agent/agentaction.h"
 #include "agent/targetmessage.h"
+#include "configservice/instance.h"
 #include "core/timepoint.h"
 #include "fabric/innerpacket.h"
 #include "fabric/peermessage.h"
 #include "operators/configuration.h"
-#include "platform/instance.h"
 
 #include <memory>
 #include <optional>
--- a/apps/rattanpickd/main.cpp
+++ b/apps/rattanpickd/main.cpp
@@ -1,4 +1,5 @@
 #include "daemon.h"
+#include "streamdaemon.h"
 
 #include "core/logging.h"
 #include "operators/daemonsettingsreader.h"
@@ -64,7 +65,17 @@
         command->add_option("--document", documentFile, "Document to start with until the platform or a peer gives a later one");
         command->add_flag("--check", isCheckOnly, "Check the settings and stop");
     }
+    for (const auto &[name, text] : {std::pair{"stream-balancer", "Entry instance for byte-stream flows on the platform."},
+                                     std::pair{"stream-agent", "Runs beside a target that holds byte-stream flows on the platform."}}) {
+        CLI::App *command = commandLine.add_subcommand(name, text);
+        command->add_option("--settings", settingsFile, "Settings file of this process")->required()->check(CLI::ExistingFile);
+    }
     CLI11_PARSE(commandLine, argc, argv);
+    for (const auto &[name, role] : {std::pair{"stream-balancer", DaemonRole::Balancer}, std::pair{"stream-agent", DaemonRole::Agent}}) {
+        if (commandLine.got_subcommand(name)) {
+            return runStreamDaemon(QString::fromStdString(settingsFile), role);
+        }
+    }
 
     const DaemonRole role = commandLine.got_subcommand("balancer") ? DaemonRole::Balancer : DaemonRole::Agent;
     const std::optional<DaemonSettings> settings = readSettings(settingsFile, role);
--- a/apps/rattanpickd/platformclienthandle.h
+++ b/apps/rattanpickd/platformclienthandle.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/platformclient.h"
+#include "configservice/platformclient.h"
 
 #include <memory>
 #include <mutex>
--- /dev/null
+++ b/apps/rattanpickd/streamcontext.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "wakeup.h"
+
+#include "core/boundedring.h"
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "stream/directorysource.h"
+#include "stream/segmentformat.h"
+#include "stream/streamprocesssettings.h"
+
+#include <atomic>
+#include <memory>
+
+namespace Rattanpick
+{
+
+/// What the duties of one process that forwards byte-stream flows share.
+struct StreamContext
+{
+    /// Answers of the directory source that wait for the packet duty; it makes a few calls a second.
+    static constexpr std::size_t changeRingSize = 64;
+
+    /// Builds the context; @p segmentFormat and @p directorySource must outlive it.
+    StreamContext(const StreamProcessSettings &processSettings,
+                  const EventLogSettings &logSettings,
+                  const SegmentFormat &segmentFormat,
+                  DirectorySource &directorySource)
+        : settings(processSettings)
+        , format(segmentFormat)
+        , source(directorySource)
+        , log(logSettings)
+    {
+    }
+
+    const StreamProcessSettings settings;
+    const SegmentFormat &format;
+    DirectorySource &source;
+    EventLog log;
+    Metrics metrics;
+
+    /// From the directory duty to the packet duty.
+    BoundedRing<std::shared_ptr<const std::vector<DirectoryChange>>> changes{changeRingSize};
+    Wakeup packetWakeup;
+    Wakeup directoryWakeup;
+
+    /// Whether callers may be sent here; the packet duty sets it.
+    std::atomic<bool> isReady = false;
+    /// Set by the signal that orders a planned stop.
+    std::atomic<bool> isStopping = false;
+    /// The process was paused; the directory duty reads everything again.
+    std::atomic<bool> isReadingWanted = false;
+    /// Set when all duties shall end.
+    std::atomic<bool> isEnding = false;
+};
+
+}
--- /dev/null
+++ b/apps/rattanpickd/streamdaemon.cpp
@@ -0,0 +1,117 @@
+#include "streamdaemon.h"
+
+#include "directoryduty.h"
+#include "streamcontext.h"
+#include "streamduty.h"
+
+#include "core/logging.h"
+#include "operators/httpserver.h"
+#include "stream/streamprocesssettingsreader.h"
+
+#include <platform/segmentcodec.h>
+#include <platform/storesource.h>
+
+#include <QFile>
+#include <QJsonDocument>
+
+#include <csignal>
+#include <cstdio>
+#include <thread>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+constexpr int usageError = 2;
+constexpr unsigned okStatus = 200;
+constexpr unsigned unavailableStatus = 503;
+
+/// The context of the process; for the signal handler alone.
+StreamContext *signalledContext = nullptr;
+
+void onStopSignal(int /*signal*/)
+{
+    signalledContext->isStopping = true;
+    signalledContext->packetWakeup.notifyFromSignal();
+}
+
+std::optional<StreamProcessSettings> readSettings(const QString &name, DaemonRole role)
+{
+    QFile file(name);
+    if (!file.open(QIODevice::ReadOnly)) {
+        std::fprintf(stderr, "rattanpickd: cannot read %s: %s\n", qPrintable(name), qPrintable(file.errorString()));
+        return std::nullopt;
+    }
+    StreamProcessSettingsReader reader(name);
+    const std::optional<StreamProcessSettings> settings = reader.read(file.readAll());
+    for (const Finding &finding : reader.findings()) {
+        std::fprintf(stderr, "%s\n", qPrintable(finding.toString()));
+    }
+    if (settings && settings->role != role) {
+        std::fprintf(stderr, "rattanpickd: %s is for the other role\n", qPrintable(name));
+        return std::nullopt;
+    }
+    return settings;
+}
+
+void handleStopSignals(StreamContext &context)
+{
+    signalledContext = &context;
+    struct sigaction action = {};
+    action.sa_handler = onStopSignal;
+    sigaction(SIGTERM, &action, nullptr);
+    sigaction(SIGINT, &action, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+}
+
+int runStreamDaemon(const QString &settingsFile, DaemonRole role)
+{
+    const std::optional<StreamProcessSettings> settings = readSettings(settingsFile, role);
+    if (!settings) {
+        return usageError;
+    }
+    setUpLogging(settings->logLevel);
+    const SegmentCodec format;
+    StoreSource source(settings->directory);
+    EventLogSettings logSettings;
+    logSettings.process = settings->name;
+    StreamContext context(*settings, logSettings, format, source);
+    StreamDuty packets(context);
+    if (!packets.bind()) {
+        std::fprintf(stderr, "rattanpickd: %s\n", qPrintable(packets.lastError()));
+        return 1;
+    }
+    handleStopSignals(context);
+
+    HttpServer ready(settings->ready);
+    ready.handle("/rattanpick/readiness", [&context] {
+        return context.isReady ? HttpResponse{okStatus, "text/plain; charset=utf-8", "ready\n"}
+                               : HttpResponse{unavailableStatus, "text/plain; charset=utf-8", "not ready\n"};
+    });
+    HttpServer metrics(settings->metrics);
+    metrics.handle("/metrics", [&context] { return HttpResponse{okStatus, "application/json", QJsonDocument(context.metrics.snapshot()).toJson()}; });
+    for (HttpServer *server : {&ready, &metrics}) {
+        if (!server->start()) {
+            std::fprintf(stderr, "rattanpickd: %s\n", qPrintable(server->lastError()));
+            return 1;
+        }
+    }
+    context.log.record(EventNumber::ProcessStarted, role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent"));
+    DirectoryDuty directory(context);
+    std::thread directoryThread([&directory] { directory.run(); });
+
+    packets.run();
+
+    context.log.record(EventNumber::ProcessStopped, QStringLiteral("finished"));
+    context.isEnding = true;
+    source.cancel();
+    context.directoryWakeup.notify();
+    directoryThread.join();
+    return 0;
+}
+
+}
--- /dev/null
+++ b/apps/rattanpickd/streamduty.cpp
@@ -0,0 +1,214 @@
+#include "streamduty.h"
+
+#include "stream/streamagent.h"
+#include "stream/streambalancer.h"
+#include "stream/streammessagecodec.h"
+
+#include <poll.h>
+
+#include <array>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// What has no deadline of its own is done this often.
+constexpr Duration tickInterval = 500ms;
+/// A longer gap between two steps means that the process was paused.
+constexpr Duration pauseLimit = 1500ms;
+/// Batches thrown away at most after a pause; bounds the work if packets keep coming.
+constexpr int discardedBatches = 256;
+/// Datagrams taken with one system call; more would cost memory and bring nothing at some hundred packets a second.
+constexpr std::size_t receiveBatch = 16;
+
+std::unique_ptr<StreamDecisions> makeDecisions(const StreamProcessSettings &settings, const SegmentFormat &format, TimePoint now)
+{
+    // Agents listen at the same port on all machines, so that the address of a target leads to its agent.
+    const TargetDirectorySettings directory{.agentPort = settings.messages.port, .departedMemory = settings.maximumFlowAge};
+    if (settings.role == DaemonRole::Balancer) {
+        StreamBalancerSettings balancer;
+        balancer.endpoint = settings.messages;
+        balancer.directory = directory;
+        balancer.placement.dataCentre = settings.dataCentre;
+        return std::make_unique<StreamBalancer>(balancer, format);
+    }
+    StreamAgentSettings agent;
+    agent.endpoint = settings.messages;
+    agent.target = settings.target;
+    agent.service = serviceIdOf(settings.service.toUtf8());
+    agent.dataCentre = settings.dataCentre;
+    agent.directory = directory;
+    agent.coldFactor = settings.coldFactor;
+    agent.coldSlack = settings.coldSlack;
+    return std::make_unique<StreamAgent>(agent, format, now);
+}
+
+}
+
+StreamDuty::StreamDuty(StreamContext &context)
+    : m_context(context)
+    , m_decisions(makeDecisions(context.settings, context.format, Clock::now()))
+    , m_messages(receiveBatch)
+    , m_packets(receiveBatch)
+    , m_latestStep(Clock::now())
+    , m_receivedMessages(context.metrics.counter(QStringLiteral("messages.received")))
+    , m_receivedPackets(context.metrics.counter(QStringLiteral("packets.received")))
+    , m_malformedMessages(context.metrics.counter(QStringLiteral("messages.malformed")))
+    , m_discarded(context.metrics.counter(QStringLiteral("packets.discarded-after-pause")))
+    , m_sendFailures(context.metrics.counter(QStringLiteral("packets.send-failures")))
+{
+}
+
+bool StreamDuty::bind()
+{
+    const StreamProcessSettings &settings = m_context.settings;
+    const Endpoint &packets = settings.role == DaemonRole::Balancer ? settings.callers : settings.outbound;
+    for (const auto &[socket, endpoint] : {std::pair{&m_messages, settings.messages}, std::pair{&m_packets, packets}}) {
+        if (!socket->bind(endpoint)) {
+            m_lastError = socket->lastError();
+            return false;
+        }
+    }
+    return true;
+}
+
+void StreamDuty::run()
+{
+    bool hasMessages = false;
+    bool hasPackets = false;
+    while (true) {
+        m_context.packetWakeup.arm();
+        step(hasMessages, hasPackets);
+        const TimePoint now = Clock::now();
+        if (m_isStopNoticed && m_decisions->isStopped(now)) {
+            return;
+        }
+        std::array<pollfd, 3> descriptors{
+            pollfd{m_messages.descriptor(), POLLIN, 0},
+            pollfd{m_packets.descriptor(), POLLIN, 0},
+            pollfd{m_context.packetWakeup.descriptor(), POLLIN, 0},
+        };
+        const auto wait = std::chrono::ceil<std::chrono::milliseconds>(timeToNext(now)).count();
+        const int ready = ::poll(descriptors.data(), descriptors.size(), static_cast<int>(wait));
+        m_context.packetWakeup.disarm();
+        hasMessages = ready > 0 && descriptors[0].revents != 0;
+        hasPackets = ready > 0 && descriptors[1].revents != 0;
+    }
+}
+
+void StreamDuty::step(bool hasMessages, bool hasPackets)
+{
+    const TimePoint now = Clock::now();
+    const bool wasPaused = now - m_latestStep > pauseLimit;
+    m_latestStep = now;
+    if (wasPaused) {
+        discardAfterPause(now);
+        hasMessages = false;
+        hasPackets = false;
+    }
+    takeChanges(now);
+    if (m_context.isStopping && !m_isStopNoticed) {
+        m_isStopNoticed = true;
+        m_decisions->beginStop(now, m_actions);
+        m_context.isReady = false;
+    }
+    if (hasMessages) {
+        receiveMessages(now);
+    }
+    if (hasPackets) {
+        receivePackets(now);
+    }
+    if (now >= m_tickDeadline || now >= m_decisions->nextDeadline()) {
+        m_tickDeadline = now + tickInterval;
+        m_decisions->onTick(now, m_actions);
+    }
+    carryOut();
+    m_context.isReady = m_decisions->isReady();
+}
+
+void StreamDuty::takeChanges(TimePoint now)
+{
+    while (const auto changes = m_context.changes.pop()) {
+        for (const DirectoryChange &change : **changes) {
+            m_decisions->onDirectoryChange(now, change, m_actions);
+            const auto *published = std::get_if<RoutesPublished>(&change);
+            if (published == nullptr) {
+                continue;
+            }
+            const RouteTable &routes = *published->routes;
+            m_context.log.record(EventNumber::ConfigurationAccepted, QStringLiteral("version %1, %2 routes").arg(routes.version()).arg(routes.routeCount()));
+        }
+    }
+}
+
+void StreamDuty::receiveMessages(TimePoint now)
+{
+    for (const ReceivedDatagram &datagram : m_messages.receive()) {
+        m_receivedMessages.add();
+        const std::optional<StreamMessage> message = decodeStreamMessage(datagram.bytes);
+        if (!message) {
+            m_malformedMessages.add();
+            continue;
+        }
+        m_decisions->onMessage(now, *message, m_actions);
+        carryOut();
+    }
+}
+
+void StreamDuty::receivePackets(TimePoint now)
+{
+    for (const ReceivedDatagram &datagram : m_packets.receive()) {
+        m_receivedPackets.add();
+        m_decisions->onPacket(now, QByteArray::fromRawData(datagram.bytes.data(), datagram.bytes.size()), m_actions);
+        // The packet is valid until the next receive() only, so what is to be done with it is done now.
+        carryOut();
+    }
+}
+
+void StreamDuty::discardAfterPause(TimePoint now)
+{
+    // What waited in the sockets is old: callers have repeated it, and targets may have drained since.
+    m_context.log.record(EventNumber::PauseNoticed, QStringLiteral("waiting packets are thrown away, the directory is read again"));
+    for (UdpSocket *socket : {&m_messages, &m_packets}) {
+        for (int batch = 0; batch < discardedBatches; ++batch) {
+            const std::size_t count = socket->receive().size();
+            if (count == 0) {
+                break;
+            }
+            m_discarded.add(count);
+        }
+    }
+    m_decisions->onPause(now);
+    m_context.isReadingWanted = true;
+    m_context.source.interrupt();
+}
+
+void StreamDuty::carryOut()
+{
+    for (const StreamAction &action : m_actions) {
+        bool isSent = true;
+        if (const auto *message = std::get_if<SendStreamMessage>(&action)) {
+            isSent = message->to.isNull() || m_messages.send(message->to, encodeStreamMessage(message->message));
+        } else if (const auto *toTarget = std::get_if<SendToStreamTarget>(&action)) {
+            isSent = m_packets.send(m_context.settings.target, toTarget->packet);
+        } else if (const auto *toCaller = std::get_if<SendToStreamCaller>(&action)) {
+            isSent = m_packets.send({toCaller->caller.address, m_context.settings.callers.port}, toCaller->packet);
+        } else if (const auto *event = std::get_if<RecordStreamEvent>(&action)) {
+            m_context.log.record(event->number, event->detail, event->flow.toString());
+        }
+        if (!isSent) {
+            m_sendFailures.add();
+        }
+    }
+    m_actions.clear();
+}
+
+Duration StreamDuty::timeToNext(TimePoint now) const
+{
+    const TimePoint next = std::min(m_tickDeadline, m_decisions->nextDeadline());
+    return std::max(Duration::zero(), next - now);
+}
+
+}
--- /dev/null
+++ b/apps/rattanpickd/streamduty.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "streamcontext.h"
+
+#include "fabric/udpsocket.h"
+#include "stream/streamdecisions.h"
+
+#include <memory>
+
+namespace Rattanpick
+{
+
+/// Receives, decides and sends in one thread.
+///
+/// The machines of balancers have a few hundredths of a core, where handing a packet from thread to thread costs more
+/// than deciding about it.
+class StreamDuty
+{
+public:
+    /// Builds the duty; the context must outlive it.
+    explicit StreamDuty(StreamContext &context);
+
+    /// Binds the sockets; false with lastError() if an address cannot be used.
+    bool bind();
+
+    /// Works until a planned stop has ended.
+    void run();
+
+    /// Why bind() failed.
+    const QString &lastError() const
+    {
+        return m_lastError;
+    }
+
+private:
+    void step(bool hasMessages, bool hasPackets);
+    void takeChanges(TimePoint now);
+    void receiveMessages(TimePoint now);
+    void receivePackets(TimePoint now);
+    void discardAfterPause(TimePoint now);
+    void carryOut();
+    Duration timeToNext(TimePoint now) const;
+
+    StreamContext &m_context;
+    std::unique_ptr<StreamDecisions> m_decisions;
+    UdpSocket m_messages;
+    /// Packets of callers (balancers) or of the target (agents).
+    UdpSocket m_packets;
+    StreamActions m_actions;
+    TimePoint m_latestStep;
+    TimePoint m_tickDeadline{};
+    bool m_isStopNoticed = false;
+    QString m_lastError;
+    Counter &m_receivedMessages;
+    Counter &m_receivedPackets;
+    Counter &m_malformedMessages;
+    Counter &m_discarded;
+    Counter &m_sendFailures;
+};
+
+}
--- a/apps/rattanpickd/wakeup.cpp
+++ b/apps/rattanpickd/wakeup.cpp
@@ -38,11 +38,30 @@
     std::atomic_thread_fence(std::memory_order_seq_cst);
 }
 
+void Wakeup::disarm()
+{
+    // An exchange that finds the flag cleared shows that a notification is in the descriptor, or will be in a moment.
+    if (!m_isArmed.exchange(false)) {
+        drain();
+    }
+}
+
+void Wakeup::notifyFromSignal()
+{
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = ::write(m_descriptor, &one, sizeof(one));
+}
+
 void Wakeup::wait(Duration limit)
 {
     pollfd descriptor{m_descriptor, POLLIN, 0};
     ::poll(&descriptor, 1, static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(limit).count()));
     m_isArmed.store(false, std::memory_order_relaxed);
+    drain();
+}
+
+void Wakeup::drain()
+{
     std::uint64_t count = 0;
     [[maybe_unused]] const auto size = ::read(m_descriptor, &count, sizeof(count));
 }
--- a/apps/rattanpickd/wakeup.h
+++ b/apps/rattanpickd/wakeup.h
@@ -24,10 +24,24 @@
     /// Announces that the duty will wait unless its rings, which it has to look at once more, hold something.
     void arm();
 
+    /// Ends the wait after arm(); for duties that wait for the descriptor together with others.
+    void disarm();
+
+    /// Readable after notify(); for poll().
+    int descriptor() const
+    {
+        return m_descriptor;
+    }
+
+    /// Wakes the duty whether it waits or not; may be called from a signal handler.
+    void notifyFromSignal();
+
     /// Waits for notify() after arm(), or for @p limit.
     void wait(Duration limit);
 
 private:
+    void drain();
+
     int m_descriptor = -1;
     std::atomic<bool> m_isArmed = false;
 };
--- a/packages/platform/documentassembler.cpp
+++ b/packages/configservice/documentassembler.cpp
@@ -1,4 +1,4 @@
-#include "platform/documentassembler.h"
+#include "configservice/documentassembler.h"
 
 #include "core/identifiers.h"
 
--- a/packages/platform/documentmanifest.cpp
+++ b/packages/configservice/documentmanifest.cpp
@@ -1,4 +1,4 @@
-#include "platform/documentmanifest.h"
+#include "configservice/documentmanifest.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
--- a/packages/platform/documentsplitter.cpp
+++ b/packages/configservice/documentsplitter.cpp
@@ -1,4 +1,4 @@
-#include "platform/documentsplitter.h"
+#include "configservice/documentsplitter.h"
 
 #include "core/assertion.h"
 #include "core/identifiers.h"
--- a/packages/platform/documentsplitter.h
+++ b/packages/configservice/documentsplitter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/documentmanifest.h"
+#include "configservice/documentmanifest.h"
 
 #include <QByteArray>
 #include <QString>
--- a/packages/platform/instancelistcodec.cpp
+++ b/packages/configservice/instancelistcodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/instancelistcodec.h"
+#include "configservice/instancelistcodec.h"
 
 #include <QJsonArray>
 #include <QJsonDocument>
--- a/packages/platform/platformclient.cpp
+++ b/packages/configservice/platformclient.cpp
@@ -1,14 +1,10 @@
-#include "platform/platformclient.h"
+#include "configservice/platformclient.h"
 
+#include "configservice/documentassembler.h"
+#include "configservice/httpclient.h"
+#include "configservice/instancelistcodec.h"
 #include "core/assertion.h"
-#include "platform/documentassembler.h"
-#include "platform/instancelistcodec.h"
-
-#include <QEventLoop>
-#include <QNetworkAccessManager>
-#include <QNetworkReply>
-#include <QNetworkRequest>
-#include <QTimer>
+
 #include <QUrl>
 
 #include <atomic>
@@ -22,9 +18,6 @@
 constexpr int okStatus = 200;
 constexpr int notModifiedStatus = 304;
 
-/// Bounds the memory that an answer can claim; the instance list of the design size has about 5 MB.
-constexpr qsizetype maximumAnswerBytes = 64'000'000;
-
 }
 
 class PlatformClient::Private
@@ -32,18 +25,18 @@
 public:
     explicit Private(const PlatformClientSettings &givenSettings)
         : settings(givenSettings)
+        , client(HttpClientSettings{.caller = givenSettings.caller})
     {
         RP_ASSERT(!settings.endpoints.isEmpty());
     }
 
     std::optional<PlatformValueAnswer> get(const QString &path, quint64 afterRevision, Duration timeout);
     std::optional<PlatformValueAnswer> getFrom(const Endpoint &endpoint, const QString &path, quint64 afterRevision, Duration timeout);
-    std::optional<PlatformValueAnswer> evaluate(QNetworkReply &reply);
+    std::optional<PlatformValueAnswer> evaluate(const HttpAnswer &answer);
 
     const PlatformClientSettings settings;
-    QNetworkAccessManager manager;
+    HttpClient client;
     std::atomic<bool> isCancelled = false;
-    QEventLoop loop;
     qsizetype current = 0;
     QString lastError;
 };
@@ -68,49 +61,27 @@
 
 std::optional<PlatformValueAnswer> PlatformClient::Private::getFrom(const Endpoint &endpoint, const QString &path, quint64 afterRevision, Duration timeout)
 {
-    QNetworkRequest request(QUrl(QStringLiteral("http://%1%2?after=%3").arg(endpoint.toString(), path).arg(afterRevision)));
-    request.setRawHeader("X-Caller", settings.caller.toUtf8());
-    request.setTransferTimeout(static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count()));
-    const std::unique_ptr<QNetworkReply> reply(manager.get(request));
-    QObject::connect(reply.get(), &QNetworkReply::finished, &loop, &QEventLoop::quit);
-    QObject::connect(reply.get(), &QNetworkReply::downloadProgress, reply.get(), [&reply](qint64 received, qint64) {
-        if (received > maximumAnswerBytes) {
-            reply->abort();
-        }
-    });
-    // The transfer time-out counts from the last byte only; a service that trickles bytes is cut off here.
-    QTimer deadline;
-    deadline.setSingleShot(true);
-    QObject::connect(&deadline, &QTimer::timeout, reply.get(), &QNetworkReply::abort);
-    deadline.start(std::chrono::duration_cast<std::chrono::milliseconds>(timeout));
-    if (!isCancelled && !reply->isFinished()) {
-        loop.exec();
-    }
-    if (!reply->isFinished()) {
-        lastError = QStringLiteral("cancelled");
-        reply->abort();
+    const QByteArray target = path.toUtf8() + "?after=" + QByteArray::number(afterRevision);
+    const std::optional<HttpAnswer> answer = client.get(endpoint, target, Clock::now() + timeout);
+    if (!answer) {
+        lastError = client.lastError();
         return std::nullopt;
     }
-    return evaluate(*reply);
+    return evaluate(*answer);
 }
 
-std::optional<PlatformValueAnswer> PlatformClient::Private::evaluate(QNetworkReply &reply)
+std::optional<PlatformValueAnswer> PlatformClient::Private::evaluate(const HttpAnswer &answer)
 {
-    const int status = reply.attribute(QNetworkRequest::HttpStatusCodeAttribute).toInt();
     bool isRevision = false;
-    const quint64 revision = reply.rawHeader("X-Revision").toULongLong(&isRevision);
-    if (reply.error() != QNetworkReply::NoError && status != notModifiedStatus) {
-        lastError = status != 0 ? QStringLiteral("HTTP status %1").arg(status) : reply.errorString();
-        return std::nullopt;
-    }
-    if ((status != okStatus && status != notModifiedStatus) || !isRevision) {
-        lastError = QStringLiteral("unexpected HTTP status %1 or no header X-Revision").arg(status);
+    const quint64 revision = answer.revisionHeader.toULongLong(&isRevision);
+    if ((answer.status != okStatus && answer.status != notModifiedStatus) || !isRevision) {
+        lastError = QStringLiteral("HTTP status %1%2").arg(answer.status).arg(isRevision ? QString() : QStringLiteral(" without header X-Revision"));
         return std::nullopt;
     }
-    if (status == notModifiedStatus) {
+    if (answer.status == notModifiedStatus) {
         return PlatformValueAnswer{revision, false, {}};
     }
-    return PlatformValueAnswer{revision, true, reply.readAll()};
+    return PlatformValueAnswer{revision, true, answer.body};
 }
 
 PlatformClient::PlatformClient(const PlatformClientSettings &settings)
@@ -178,8 +149,7 @@
 void PlatformClient::cancel()
 {
     m_d->isCancelled = true;
-    // A queued call, since quit() before exec() would be lost while the calling thread enters the loop.
-    QMetaObject::invokeMethod(&m_d->loop, &QEventLoop::quit, Qt::QueuedConnection);
+    m_d->client.cancel();
 }
 
 const QString &PlatformClient::lastError() const
--- a/packages/platform/platformclient.h
+++ b/packages/configservice/platformclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/instance.h"
-#include "platform/platformclientsettings.h"
+#include "configservice/instance.h"
+#include "configservice/platformclientsettings.h"
 
 #include <QByteArray>
 #include <QString>
@@ -33,8 +33,8 @@
 
 /// Reads and watches the platform's configuration service by HTTP long poll.
 ///
-/// Calls block the calling thread, so that each watch needs a client and a thread of its own. A QCoreApplication
-/// must exist. Endpoints that fail are skipped: the next call starts with the one that answered last.
+/// Calls block the calling thread, so that each watch needs a client and a thread of its own. Endpoints that fail are skipped: the next call starts with the
+/// one that answered last.
 class PlatformClient
 {
 public:
--- a/packages/platform/readerelection.cpp
+++ b/packages/configservice/readerelection.cpp
@@ -1,4 +1,4 @@
-#include "platform/readerelection.h"
+#include "configservice/readerelection.h"
 
 #include "core/assertion.h"
 #include "core/identifiers.h"
--- a/packages/core/event.cpp
+++ b/packages/core/event.cpp
@@ -46,6 +46,7 @@
     NamedEvent{EventNumber::PlatformReturned, "PlatformReturned", EventLevel::Info},
     NamedEvent{EventNumber::ReaderElected, "ReaderElected", EventLevel::Info},
     NamedEvent{EventNumber::ReaderDismissed, "ReaderDismissed", EventLevel::Info},
+    NamedEvent{EventNumber::DirectoryEntryRefused, "DirectoryEntryRefused", EventLevel::Warning},
     NamedEvent{EventNumber::FlowOpened, "FlowOpened", EventLevel::Debug},
     NamedEvent{EventNumber::FlowRefused, "FlowRefused", EventLevel::Warning},
     NamedEvent{EventNumber::FlowClosed, "FlowClosed", EventLevel::Debug},
--- a/packages/core/eventnumber.h
+++ b/packages/core/eventnumber.h
@@ -22,6 +22,7 @@
     PlatformReturned = 205,
     ReaderElected = 206,
     ReaderDismissed = 207,
+    DirectoryEntryRefused = 208,
     FlowOpened = 301,
     FlowRefused = 302,
     FlowClosed = 303,
--- /dev/null
+++ b/packages/operators/httpserver.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/endpoint.h"
+
+#include <QByteArray>
+#include <QString>
+
+#include <functional>
+#include <map>
+#include <string>
+
+struct MHD_Daemon;
+
+namespace Rattanpick
+{
+
+/// The answer to an HTTP request.
+struct HttpResponse
+{
+    unsigned status = 200;
+    QByteArray contentType = "text/plain; charset=utf-8";
+    QByteArray body;
+
+    bool operator==(const HttpResponse &) const = default;
+};
+
+/// Answers HTTP GET requests on one address in a thread of its own.
+class HttpServer
+{
+public:
+    /// Makes the answer to a request; called in the server's thread.
+    using Handler = std::function<HttpResponse()>;
+
+    /// Builds a server that does not listen yet.
+    explicit HttpServer(const Endpoint &listen);
+    ~HttpServer();
+
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// Answers GET @p path with the handler; call before start().
+    void handle(const std::string &path, Handler handler);
+
+    /// Listens; false with lastError() if the address cannot be used.
+    bool start();
+
+    /// Ends the thread; no handler is called afterwards.
+    void stop();
+
+    /// Where it listens; the port is known after start().
+    const Endpoint &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+    /// Why start() failed.
+    const QString &lastError() const
+    {
+        return m_lastError;
+    }
+
+    /// The answer to a request; for the library's callback.
+    HttpResponse respond(const char *method, const char *path) const;
+
+private:
+    Endpoint m_endpoint;
+    std::map<std::string, Handler> m_handlers;
+    MHD_Daemon *m_daemon = nullptr;
+    QString m_lastError;
+};
+
+}
--- a/packages/operators/sectionreader.cpp
+++ b/packages/operators/sectionreader.cpp
@@ -65,6 +65,22 @@
     return value;
 }
 
+double SectionReader::decimal(const QString &key, double minimum, double maximum, double fallback)
+{
+    const IniEntry *entry = find(key);
+    if (entry == nullptr) {
+        return fallback;
+    }
+    bool isNumber = false;
+    const double value = entry->value.toDouble(&isNumber);
+    if (!isNumber || !(value >= minimum && value <= maximum)) {
+        const QString problem = isNumber ? QStringLiteral("\"%1\" is out of range: %2") : QStringLiteral("\"%1\" is no number: %2");
+        report(key, problem.arg(key, entry->value), QStringLiteral("%1 to %2").arg(minimum).arg(maximum));
+        return fallback;
+    }
+    return value;
+}
+
 qsizetype SectionReader::choice(const QString &key, const QStringList &choices, std::optional<qsizetype> fallback)
 {
     const IniEntry *entry = fallback.has_value() ? find(key) : findRequired(key);
--- a/packages/operators/sectionreader.h
+++ b/packages/operators/sectionreader.h
@@ -36,6 +36,9 @@
     /// A whole number from @p minimum to @p maximum; @p fallback if the key is missing, which is a finding without one.
     qint64 number(const QString &key, qint64 minimum, qint64 maximum, std::optional<qint64> fallback = std::nullopt);
 
+    /// A decimal number from @p minimum to @p maximum; @p fallback if the key is missing.
+    double decimal(const QString &key, double minimum, double maximum, double fallback);
+
     /// The index of the value in @p choices; @p fallback if the key is missing, which is a finding without one.
     qsizetype choice(const QString &key, const QStringList &choices, std::optional<qsizetype> fallback = std::nullopt);
 
--- a/packages/spread/configurationstore.cpp
+++ b/packages/spread/configurationstore.cpp
@@ -1,8 +1,8 @@
 #include "spread/configurationstore.h"
 
+#include "configservice/documentmanifest.h"
 #include "core/assertion.h"
 #include "core/identifiers.h"
-#include "platform/documentmanifest.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/spread/documentdelta.cpp
+++ b/packages/spread/documentdelta.cpp
@@ -1,7 +1,7 @@
 #include "spread/documentdelta.h"
 
+#include "configservice/documentmanifest.h"
 #include "core/identifiers.h"
-#include "platform/documentmanifest.h"
 
 #include <QDataStream>
 #include <QIODevice>
--- a/packages/spread/instancesnapshot.cpp
+++ b/packages/spread/instancesnapshot.cpp
@@ -1,6 +1,6 @@
 #include "spread/instancesnapshot.h"
 
-#include "platform/documentmanifest.h"
+#include "configservice/documentmanifest.h"
 #include "spread/documentdelta.h"
 
 #include <QDataStream>
--- a/packages/spread/instancesnapshot.h
+++ b/packages/spread/instancesnapshot.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/instance.h"
+#include "configservice/instance.h"
 
 #include <QByteArray>
 
--- a/packages/spread/platformwatch.h
+++ b/packages/spread/platformwatch.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "configservice/backoff.h"
 #include "core/timepoint.h"
-#include "platform/backoff.h"
 #include "spread/spreadnodesettings.h"
 
 #include <QtGlobal>
--- a/packages/spread/spreadnode.cpp
+++ b/packages/spread/spreadnode.cpp
@@ -1,7 +1,7 @@
 #include "spread/spreadnode.h"
 
+#include "configservice/backoff.h"
 #include "core/assertion.h"
-#include "platform/backoff.h"
 #include "spread/pauseguard.h"
 #include "spread/platformwatch.h"
 #include "spread/pullschedule.h"
--- a/packages/spread/spreadstrategy.h
+++ b/packages/spread/spreadstrategy.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/readerelection.h"
+#include "configservice/readerelection.h"
 #include "spread/configurationstore.h"
 #include "spread/instancesnapshot.h"
 #include "spread/spreadnodesettings.h"
--- a/packages/spread/suspicionlist.h
+++ b/packages/spread/suspicionlist.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "configservice/instance.h"
 #include "core/timepoint.h"
 #include "fabric/peermessage.h"
-#include "platform/instance.h"
 #include "spread/suspicionlistsettings.h"
 
 #include <cstddef>
--- /dev/null
+++ b/packages/stream/coldlimit.cpp
@@ -0,0 +1,32 @@
+#include "stream/coldlimit.h"
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// Longer than a second, since the target sees the openings closer together than they were admitted.
+constexpr Duration window = 1100ms;
+
+}
+
+void ColdLimit::setLimit(std::size_t openingsPerSecond)
+{
+    m_limit = openingsPerSecond;
+}
+
+bool ColdLimit::admit(TimePoint now)
+{
+    while (!m_admitted.empty() && now - m_admitted.front() >= window) {
+        m_admitted.pop_front();
+    }
+    if (m_limit > 0 && m_admitted.size() >= m_limit) {
+        return false;
+    }
+    // Openings before the target turned cold count too: it is the same second.
+    m_admitted.push_back(now);
+    return true;
+}
+
+}
--- /dev/null
+++ b/packages/stream/flowsearch.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "stream/streamaction.h"
+#include "stream/streamagentsettings.h"
+#include "stream/targetdirectory.h"
+
+#include <deque>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Rattanpick
+{
+
+/// Finds the target of a flow that a balancer does not know: asks the agents of all targets that may hold it.
+class FlowSearch
+{
+public:
+    /// How a search ended.
+    enum class Outcome : quint8 {
+        /// Answers are outstanding.
+        Pending,
+        /// A target holds the flow.
+        Found,
+        /// Every target that may hold the flow denies it.
+        HeldByNone,
+    };
+
+    /// Builds a search desk; both references must outlive it.
+    FlowSearch(const StreamAgentSettings &settings, const TargetDirectory &directory);
+
+    /// Adds a packet to the search for its flow; a new search asks all agents but the own one.
+    ///
+    /// @p isOwnAsked tells that the target beside this process is asked too.
+    void begin(TimePoint now, const FlowKey &flow, const StreamMessage &message, bool isOwnAsked, StreamActions &actions);
+
+    /// A target holds the flow: waiting packets are sent to its agent.
+    void onHeld(const FlowKey &flow, const StreamMessage &answer, StreamActions &actions);
+
+    /// A target denies the flow.
+    Outcome onNotHeld(TimePoint now, const FlowKey &flow, TargetId target);
+
+    /// The packet that the search began with; empty if there is no such search.
+    QByteArray packetOf(const FlowKey &flow) const;
+
+    /// Ends the search.
+    void end(const FlowKey &flow);
+
+    /// Gives up searches that are due: an agent that does not answer may stand beside the target of the flow.
+    void onTick(TimePoint now);
+
+    /// Whether a search for the flow is under way.
+    bool isSearching(const FlowKey &flow) const
+    {
+        return m_searches.contains(flow);
+    }
+
+private:
+    struct Search
+    {
+        std::set<TargetId> outstanding;
+        /// The packet that every agent was given.
+        QByteArray packet;
+        /// Later packets of the flow.
+        std::vector<QByteArray> waiting;
+        Endpoint balancer;
+        /// Whether the directory names every target that may hold the flow.
+        bool isExhaustive = false;
+    };
+
+    const StreamAgentSettings &m_settings;
+    const TargetDirectory &m_directory;
+    std::unordered_map<FlowKey, Search> m_searches;
+    std::deque<std::pair<TimePoint, FlowKey>> m_deadlines;
+};
+
+}
--- /dev/null
+++ b/packages/stream/loadreport.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/timepoint.h"
+
+#include <QtGlobal>
+
+namespace Rattanpick
+{
+
+/// The load of a target as the agent beside it sees it.
+struct LoadReport
+{
+    /// Requests at the target: begun and not answered.
+    quint16 requestsInProgress = 0;
+    /// Mean of requestsInProgress over about a second, in hundredths.
+    quint16 meanInProgressHundredths = 0;
+    /// Flows that the target holds.
+    quint16 flows = 0;
+    /// Mean time of a request that found a free slot, in microseconds; 0 if not known.
+    quint32 serviceMicroseconds = 0;
+    /// The agent takes no new flows: planned stop, drain, evacuation or target silence.
+    bool isClosed = false;
+
+    bool operator==(const LoadReport &) const = default;
+};
+
+}
--- /dev/null
+++ b/packages/stream/routetable.cpp
@@ -0,0 +1,41 @@
+#include "stream/routetable.h"
+
+#include "core/assertion.h"
+
+#include <algorithm>
+
+namespace Rattanpick
+{
+
+RouteTable::RouteTable(quint64 version, std::vector<Route> routes, std::vector<StreamService> services, Duration idleTimeout)
+    : m_version(version)
+    , m_idleTimeout(idleTimeout)
+{
+    for (Route &route : routes) {
+        RP_ASSERT(!route.shares.empty());
+        m_routes.emplace(route.address, std::move(route));
+    }
+    for (StreamService &service : services) {
+        m_services.emplace(static_cast<quint32>(service.id), std::move(service));
+    }
+}
+
+const Route *RouteTable::findRoute(const Endpoint &address) const
+{
+    const auto found = m_routes.find(address);
+    return found != m_routes.end() ? &found->second : nullptr;
+}
+
+const StreamService *RouteTable::findService(ServiceId id) const
+{
+    const auto found = m_services.find(static_cast<quint32>(id));
+    return found != m_services.end() ? &found->second : nullptr;
+}
+
+bool RouteTable::allows(const Endpoint &address, ServiceId service) const
+{
+    const Route *route = findRoute(address);
+    return route != nullptr && std::ranges::any_of(route->shares, [service](const ServiceShare &share) { return share.service == service; });
+}
+
+}
--- /dev/null
+++ b/packages/stream/routetable.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "stream/route.h"
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace Rattanpick
+{
+
+/// The routes and services of one version of the configuration; immutable, shared by the duties of a process.
+class RouteTable
+{
+public:
+    /// Takes the parts of a checked configuration.
+    RouteTable(quint64 version, std::vector<Route> routes, std::vector<StreamService> services, Duration idleTimeout);
+
+    /// The number of the configuration; later ones are higher.
+    quint64 version() const
+    {
+        return m_version;
+    }
+
+    /// A flow that carries nothing for this long may be forgotten.
+    Duration idleTimeout() const
+    {
+        return m_idleTimeout;
+    }
+
+    /// The route to the address, or null.
+    const Route *findRoute(const Endpoint &address) const;
+
+    /// The service, or null.
+    const StreamService *findService(ServiceId id) const;
+
+    /// Whether the route to the address may use the service.
+    bool allows(const Endpoint &address, ServiceId service) const;
+
+    /// The number of routes.
+    std::size_t routeCount() const
+    {
+        return m_routes.size();
+    }
+
+    bool operator==(const RouteTable &) const = default;
+
+private:
+    quint64 m_version;
+    Duration m_idleTimeout;
+    std::unordered_map<Endpoint, Route> m_routes;
+    std::unordered_map<quint32, StreamService> m_services;
+};
+
+/// A route table shared between threads.
+using RouteTablePointer = std::shared_ptr<const RouteTable>;
+
+}
--- /dev/null
+++ b/packages/stream/streamaction.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/eventnumber.h"
+#include "stream/streammessage.h"
+
+#include <QByteArray>
+#include <QString>
+
+#include <variant>
+#include <vector>
+
+namespace Rattanpick
+{
+
+/// Sends a message to another process of the system.
+struct SendStreamMessage
+{
+    Endpoint to;
+    StreamMessage message;
+
+    bool operator==(const SendStreamMessage &) const = default;
+};
+
+/// Sends a packet to the target beside this process.
+struct SendToStreamTarget
+{
+    QByteArray packet;
+
+    bool operator==(const SendToStreamTarget &) const = default;
+};
+
+/// Sends a packet to a caller.
+struct SendToStreamCaller
+{
+    /// The address of the caller in the flow; the network decides about the port.
+    Endpoint caller;
+    QByteArray packet;
+
+    bool operator==(const SendToStreamCaller &) const = default;
+};
+
+/// Records a decision.
+struct RecordStreamEvent
+{
+    EventNumber number{};
+    FlowKey flow;
+    QString detail;
+
+    bool operator==(const RecordStreamEvent &) const = default;
+};
+
+/// What a decision object wants done.
+using StreamAction = std::variant<SendStreamMessage, SendToStreamTarget, SendToStreamCaller, RecordStreamEvent>;
+
+/// In the order in which it is to be done.
+using StreamActions = std::vector<StreamAction>;
+
+}
--- /dev/null
+++ b/packages/stream/streamagent.cpp
@@ -0,0 +1,552 @@
+#include "stream/streamagent.h"
+
+#include "core/assertion.h"
+
+#include <algorithm>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// Used while the configuration has told no idle time-out.
+constexpr Duration assumedIdleTimeout = 15s;
+/// The window in which a caller accepts a reset, in bytes; the same bounds the first acknowledgement of an answer.
+constexpr quint32 acknowledgementWindow = 76'800;
+/// A balancer that has sent nothing for this long is told no load.
+constexpr Duration balancerMemory = 3s;
+/// How long openings are refused at most after a pause, while no reading of the directory ends.
+constexpr Duration pauseHold = 1s;
+
+QString refusalText(OpeningRefusal refusal)
+{
+    return QLatin1String(openingRefusalName(refusal));
+}
+
+}
+
+StreamAgent::StreamAgent(const StreamAgentSettings &settings, const SegmentFormat &format, TimePoint now)
+    : m_settings(settings)
+    , m_format(format)
+    , m_directory(settings.directory)
+    , m_fence(m_settings, m_directory)
+    , m_search(m_settings, m_directory)
+    , m_loadDeadline(now + settings.loadInterval)
+    , m_adoptionDeadline(now + settings.adoptionTime)
+{
+}
+
+// Input
+
+void StreamAgent::onDirectoryChange(TimePoint now, const DirectoryChange &change, StreamActions & /*actions*/)
+{
+    m_directory.apply(now, change);
+    if (std::holds_alternative<ReadingCompleted>(change)) {
+        m_fence.release();
+    }
+    if (const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target)) {
+        m_targetIncarnation = own->target.incarnation;
+        m_meter.setSlotCount(std::max<quint32>(1, own->target.slotCount));
+    }
+}
+
+void StreamAgent::onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions)
+{
+    using Handler = void (StreamAgent::*)(TimePoint, const StreamMessage &, const Segment &, StreamActions &);
+    static constexpr std::array<Handler, 5> handlers{
+        nullptr,
+        &StreamAgent::onOpening,
+        &StreamAgent::onDeliver,
+        &StreamAgent::onLocate,
+        &StreamAgent::onProbe,
+    };
+    const auto kind = static_cast<std::size_t>(message.kind);
+    if (kind < handlers.size()) {
+        const std::optional<Segment> segment = m_format.decode(message.packet);
+        if (!segment || message.hopCount > m_settings.maximumHops) {
+            return;
+        }
+        rememberBalancer(now, message.balancer);
+        (this->*handlers.at(kind))(now, message, *segment, actions);
+        return;
+    }
+    if (message.kind == StreamMessageKind::Held) {
+        m_search.onHeld(message.flow, message, actions);
+    } else if (message.kind == StreamMessageKind::NotHeld) {
+        if (m_search.onNotHeld(now, message.flow, message.target) == FlowSearch::Outcome::HeldByNone) {
+            resetAfterSearch(now, message.flow, {}, actions);
+        }
+    } else if (message.kind == StreamMessageKind::Ping) {
+        actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::Load, {})});
+    }
+}
+
+void StreamAgent::onPacket(TimePoint now, const QByteArray &packet, StreamActions &actions)
+{
+    const std::optional<Segment> segment = m_format.decode(packet);
+    if (!segment) {
+        return;
+    }
+    if (segment->has(BouncedFlag)) {
+        onBounced(now, packet, *segment, actions);
+        return;
+    }
+    const FlowKey key = segment->flowFromTarget();
+    actions.emplace_back(SendToStreamCaller{key.caller, packet});
+    HeldFlow *flow = find(key);
+    if (flow == nullptr) {
+        if (segment->has(RstFlag)) {
+            return;
+        }
+        // The flow is older than this process: that its target speaks for it shows where it is.
+        flow = &m_flows[key];
+        flow->state = HeldFlow::State::Open;
+        keep(now, key, *flow);
+    }
+    onAnswer(now, key, *flow, *segment, actions);
+}
+
+void StreamAgent::onTick(TimePoint now, StreamActions &actions)
+{
+    m_directory.onTick(now);
+    m_search.onTick(now);
+    while (!m_expiries.empty() && now >= m_expiries.front().first) {
+        const FlowKey key = m_expiries.front().second;
+        m_expiries.pop_front();
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end()) {
+            continue;
+        }
+        if (now >= found->second.forgetDeadline) {
+            forget(now, key);
+            continue;
+        }
+        m_expiries.emplace_back(found->second.forgetDeadline, key);
+    }
+    if (now < m_loadDeadline) {
+        return;
+    }
+    m_loadDeadline = now + m_settings.loadInterval;
+    std::erase_if(m_balancers, [now](const auto &item) { return now >= item.second; });
+    for (const auto &[balancer, deadline] : m_balancers) {
+        actions.emplace_back(SendStreamMessage{balancer, answer(now, StreamMessageKind::Load, {})});
+    }
+}
+
+void StreamAgent::onPause(TimePoint now)
+{
+    m_fence.holdUntil(now + pauseHold);
+}
+
+// Planned stop
+
+void StreamAgent::beginStop(TimePoint now, StreamActions &actions)
+{
+    if (m_stopDeadline) {
+        return;
+    }
+    m_fence.setStopping();
+    m_stopDeadline = now + m_settings.stopLimit;
+    m_stopMinimumDeadline = now + m_settings.stopMinimum;
+    for (const auto &[balancer, deadline] : m_balancers) {
+        actions.emplace_back(SendStreamMessage{balancer, answer(now, StreamMessageKind::Load, {})});
+    }
+}
+
+void StreamAgent::onTargetEnded(TimePoint now, StreamActions &actions)
+{
+    std::vector<FlowKey> keys;
+    for (const auto &[key, flow] : m_flows) {
+        keys.push_back(key);
+    }
+    // Callers that are told at once can repeat their requests elsewhere within their deadlines.
+    for (const FlowKey &key : keys) {
+        breakFlow(now, key, m_flows[key], QStringLiteral("its target has ended"), actions);
+    }
+}
+
+bool StreamAgent::isStopped(TimePoint now) const
+{
+    return m_stopDeadline && now >= m_stopMinimumDeadline && (m_meter.inProgress() == 0 || now >= *m_stopDeadline);
+}
+
+TimePoint StreamAgent::nextDeadline() const
+{
+    TimePoint next = std::min(m_directory.nextDeadline(), m_loadDeadline);
+    if (m_stopDeadline) {
+        next = std::min(next, std::min(*m_stopDeadline, m_stopMinimumDeadline));
+    }
+    return next;
+}
+
+bool StreamAgent::isReady() const
+{
+    return m_directory.routes() != nullptr && m_directory.isComplete();
+}
+
+LoadReport StreamAgent::load(TimePoint now) const
+{
+    LoadReport load = m_meter.report(now);
+    load.flows = static_cast<quint16>(std::min<std::size_t>(m_flows.size(), 0xffff));
+    load.isClosed = m_fence.lastingRefusal(now) != OpeningRefusal::None;
+    return load;
+}
+
+// Messages
+
+void StreamAgent::onOpening(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
+{
+    const FlowKey key = segment.flowFromCaller();
+    HeldFlow *known = find(key);
+    if (known != nullptr && known->openingSequence == segment.sequence) {
+        // A copy: the target answers it again, whatever has changed since.
+        known->balancer = message.balancer;
+        giveToTarget(key, message, actions);
+        return;
+    }
+    const OpeningRefusal refusal = m_fence.admit(now, message, key.service);
+    if (refusal != OpeningRefusal::None) {
+        passOpeningOn(message, key, refusalText(refusal), actions);
+        return;
+    }
+    if (known != nullptr) {
+        forget(now, key);
+    }
+    HeldFlow &flow = m_flows[key];
+    flow.balancer = message.balancer;
+    flow.openingSequence = segment.sequence;
+    keep(now, key, flow);
+    giveToTarget(key, message, actions);
+}
+
+void StreamAgent::onDeliver(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
+{
+    const FlowKey key = segment.flowFromCaller();
+    HeldFlow *flow = find(key);
+    if (flow != nullptr && isOfThisAnswer(*flow, segment)) {
+        deliver(now, key, *flow, message, segment, actions);
+        return;
+    }
+    if (flow != nullptr || knowsAllFlows(now)) {
+        denyFlow(now, key, message, actions);
+        return;
+    }
+    HeldFlow &assumed = m_flows[key];
+    assumed.state = HeldFlow::State::Assumed;
+    noteCallerSegment(now, assumed, message, segment);
+    keep(now, key, assumed);
+    giveToTarget(key, message, actions);
+}
+
+void StreamAgent::onProbe(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
+{
+    const FlowKey key = segment.flowFromCaller();
+    HeldFlow *flow = find(key);
+    if (flow != nullptr && isOfThisAnswer(*flow, segment)) {
+        deliver(now, key, *flow, message, segment, actions);
+        const StreamMessage held = answer(now, StreamMessageKind::Held, key);
+        actions.emplace_back(SendStreamMessage{message.sender, held});
+        actions.emplace_back(SendStreamMessage{message.balancer, held});
+        return;
+    }
+    if (flow != nullptr || knowsAllFlows(now)) {
+        actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::NotHeld, key)});
+        return;
+    }
+    giveToTarget(key, message, actions);
+}
+
+void StreamAgent::onLocate(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
+{
+    const FlowKey key = segment.flowFromCaller();
+    HeldFlow *flow = find(key);
+    if (flow != nullptr && isOfThisAnswer(*flow, segment)) {
+        deliver(now, key, *flow, message, segment, actions);
+        actions.emplace_back(SendStreamMessage{message.balancer, answer(now, StreamMessageKind::Held, key)});
+        return;
+    }
+    search(now, key, message, actions);
+}
+
+// Packets of the target
+
+void StreamAgent::onBounced(TimePoint now, const QByteArray &packet, const Segment &segment, StreamActions &actions)
+{
+    const FlowKey key = segment.flowFromCaller();
+    const Delivery &delivery = m_deliveries.at(segment.tag % deliveryCount);
+    if (segment.tag == 0 || delivery.tag != segment.tag || delivery.flow != key) {
+        HeldFlow *flow = find(key);
+        if (flow == nullptr || segment.isOpening()) {
+            return;
+        }
+        // The target held this flow and no longer does.
+        flow->callerAcknowledgement = segment.acknowledgement;
+        breakFlow(now, key, *flow, QStringLiteral("its target no longer holds it"), actions);
+        return;
+    }
+    const StreamMessage message = delivery.message;
+    forget(now, key);
+    switch (message.kind) {
+    case StreamMessageKind::Opening:
+        passOpeningOn(message, key, QStringLiteral("the target cannot accept it"), actions);
+        break;
+    case StreamMessageKind::Deliver:
+        denyFlow(now, key, message, actions);
+        break;
+    case StreamMessageKind::Probe:
+        actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::NotHeld, key)});
+        break;
+    default:
+        if (const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
+            own != nullptr && m_search.onNotHeld(now, key, own->target.id) == FlowSearch::Outcome::HeldByNone) {
+            resetAfterSearch(now, key, packet, actions);
+        }
+        break;
+    }
+}
+
+void StreamAgent::onAnswer(TimePoint now, const FlowKey &key, HeldFlow &flow, const Segment &segment, StreamActions &actions)
+{
+    if (segment.has(SynFlag)) {
+        flow.targetSequence = segment.sequence;
+        flow.hasTargetSequence = true;
+        if (flow.state == HeldFlow::State::Offered) {
+            flow.state = HeldFlow::State::Answered;
+        }
+        actions.emplace_back(SendStreamMessage{flow.balancer, answer(now, StreamMessageKind::Held, key)});
+    } else if (flow.state == HeldFlow::State::Assumed) {
+        flow.state = HeldFlow::State::Open;
+        StreamMessage held = answer(now, StreamMessageKind::Held, key);
+        m_search.onHeld(key, held, actions);
+        actions.emplace_back(SendStreamMessage{flow.balancer, std::move(held)});
+    }
+    const bool isOver = segment.has(RstFlag);
+    if (flow.requestStart && (segment.dataLength > 0 || isOver || segment.has(FinFlag))) {
+        if (segment.dataLength > 0) {
+            m_meter.answer(now, now - *flow.requestStart, flow.isServiceSample);
+        } else {
+            m_meter.abandon(now);
+        }
+        flow.requestStart.reset();
+    }
+    flow.hasTargetFinished = flow.hasTargetFinished || isOver || segment.has(FinFlag);
+    flow.hasCallerFinished = flow.hasCallerFinished || isOver;
+    keep(now, key, flow);
+}
+
+// Steps
+
+void StreamAgent::passOpeningOn(const StreamMessage &message, const FlowKey &key, const QString &reason, StreamActions &actions)
+{
+    StreamMessage passed = message;
+    ++passed.hopCount;
+    while (!passed.candidates.empty() && passed.hopCount <= m_settings.maximumHops) {
+        const TargetDirectory::Entry *next = m_directory.find(passed.candidates.front());
+        passed.candidates.erase(passed.candidates.begin());
+        if (next == nullptr || !next->isPresent() || next->target.address == m_settings.target) {
+            continue;
+        }
+        passed.target = next->target.id;
+        passed.incarnation = next->target.incarnation;
+        passed.service = next->target.service;
+        passed.sender = m_settings.endpoint;
+        const Endpoint to = next->agent;
+        actions.emplace_back(SendStreamMessage{to, std::move(passed)});
+        return;
+    }
+    // Nobody is left to ask. The caller may open another flow; nothing of this one has run.
+    actions.emplace_back(SendToStreamCaller{key.caller, m_format.reset(key, 0)});
+    StreamMessage ended;
+    ended.kind = StreamMessageKind::Ended;
+    ended.sender = m_settings.endpoint;
+    ended.flow = key;
+    actions.emplace_back(SendStreamMessage{message.balancer, std::move(ended)});
+    actions.emplace_back(RecordStreamEvent{EventNumber::FlowRefused, key, reason});
+}
+
+void StreamAgent::deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions)
+{
+    noteCallerSegment(now, flow, message, segment);
+    if (flow.state == HeldFlow::State::Answered) {
+        flow.state = HeldFlow::State::Open;
+    }
+    keep(now, key, flow);
+    if (flow.state == HeldFlow::State::Assumed) {
+        giveToTarget(key, message, actions);
+        return;
+    }
+    actions.emplace_back(SendToStreamTarget{m_format.forTarget(message.packet, 0)});
+}
+
+void StreamAgent::giveToTarget(const FlowKey &key, const StreamMessage &message, StreamActions &actions)
+{
+    const quint32 tag = m_nextTag++;
+    m_nextTag = std::max<quint32>(m_nextTag, 1);
+    Delivery &delivery = m_deliveries.at(tag % deliveryCount);
+    delivery = {tag, message, key};
+    actions.emplace_back(SendToStreamTarget{m_format.forTarget(message.packet, tag)});
+}
+
+void StreamAgent::denyFlow(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions)
+{
+    // An opening that several targets were given may have been answered by another one.
+    StreamMessage passed = message;
+    ++passed.hopCount;
+    while (!passed.candidates.empty() && passed.hopCount <= m_settings.maximumHops) {
+        const TargetDirectory::Entry *next = m_directory.find(passed.candidates.back());
+        passed.candidates.pop_back();
+        if (next == nullptr || next->target.address == m_settings.target) {
+            continue;
+        }
+        passed.target = next->target.id;
+        passed.incarnation = next->target.incarnation;
+        passed.service = next->target.service;
+        passed.sender = m_settings.endpoint;
+        const Endpoint to = next->agent;
+        actions.emplace_back(SendStreamMessage{to, std::move(passed)});
+        return;
+    }
+    actions.emplace_back(SendStreamMessage{message.balancer, answer(now, StreamMessageKind::NotHeld, key)});
+    search(now, key, message, actions);
+}
+
+void StreamAgent::search(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions)
+{
+    const std::optional<Segment> segment = m_format.decode(message.packet);
+    if (!m_directory.isComplete() || segment->has(RstFlag)) {
+        return;
+    }
+    const bool isNew = !m_search.isSearching(key);
+    const bool isOwnAsked = message.kind == StreamMessageKind::Locate && !knowsAllFlows(now) && find(key) == nullptr;
+    m_search.begin(now, key, message, isOwnAsked, actions);
+    if (!isNew) {
+        return;
+    }
+    if (isOwnAsked) {
+        HeldFlow &assumed = m_flows[key];
+        assumed.state = HeldFlow::State::Assumed;
+        noteCallerSegment(now, assumed, message, *segment);
+        keep(now, key, assumed);
+        giveToTarget(key, message, actions);
+    } else if (m_search.onNotHeld(now, key, {}) == FlowSearch::Outcome::HeldByNone) {
+        resetAfterSearch(now, key, message.packet, actions);
+    }
+}
+
+void StreamAgent::resetAfterSearch(TimePoint /*now*/, const FlowKey &key, const QByteArray &packet, StreamActions &actions)
+{
+    const std::optional<Segment> segment = m_format.decode(packet.isEmpty() ? m_search.packetOf(key) : packet);
+    actions.emplace_back(SendToStreamCaller{key.caller, m_format.reset(key, segment ? segment->acknowledgement : 0)});
+    actions.emplace_back(RecordStreamEvent{EventNumber::FlowBroken, key, QStringLiteral("no target holds it")});
+    m_search.end(key);
+}
+
+void StreamAgent::noteCallerSegment(TimePoint now, HeldFlow &flow, const StreamMessage &message, const Segment &segment)
+{
+    flow.balancer = message.balancer;
+    if (segment.has(AckFlag)) {
+        flow.callerAcknowledgement = segment.acknowledgement;
+    }
+    if (segment.has(RstFlag)) {
+        flow.hasTargetFinished = true;
+    }
+    flow.hasCallerFinished = flow.hasCallerFinished || segment.has(FinFlag) || segment.has(RstFlag);
+    if (segment.dataLength > 0) {
+        const quint32 end = segment.sequence + segment.dataLength;
+        const bool isNewData = flow.callerEnd == 0 || static_cast<qint32>(end - flow.callerEnd) > 0;
+        if (isNewData) {
+            flow.callerEnd = end;
+        }
+        if (isNewData && !flow.requestStart) {
+            flow.requestStart = now;
+            flow.isServiceSample = m_meter.begin(now);
+        }
+    }
+}
+
+void StreamAgent::breakFlow(TimePoint now, const FlowKey &key, HeldFlow &flow, const QString &reason, StreamActions &actions)
+{
+    if (!flow.hasCallerFinished || !flow.hasTargetFinished) {
+        const bool isOpen = flow.state == HeldFlow::State::Open;
+        actions.emplace_back(SendToStreamCaller{key.caller, m_format.reset(key, flow.callerAcknowledgement)});
+        actions.emplace_back(RecordStreamEvent{isOpen ? EventNumber::FlowBroken : EventNumber::FlowRefused, key, reason});
+    }
+    if (!flow.balancer.isNull()) {
+        actions.emplace_back(SendStreamMessage{flow.balancer, answer(now, StreamMessageKind::Ended, key)});
+    }
+    forget(now, key);
+}
+
+void StreamAgent::forget(TimePoint now, const FlowKey &key)
+{
+    const auto found = m_flows.find(key);
+    if (found == m_flows.end()) {
+        return;
+    }
+    if (found->second.requestStart) {
+        m_meter.abandon(now);
+    }
+    m_flows.erase(found);
+}
+
+void StreamAgent::keep(TimePoint now, const FlowKey &key, HeldFlow &flow)
+{
+    flow.forgetDeadline = now + (flow.hasCallerFinished && flow.hasTargetFinished ? m_settings.closingMemory : idleTimeout());
+    if (!flow.isQueued) {
+        flow.isQueued = true;
+        m_expiries.emplace_back(flow.forgetDeadline, key);
+    }
+}
+
+void StreamAgent::rememberBalancer(TimePoint now, const Endpoint &balancer)
+{
+    m_balancers[balancer] = now + balancerMemory;
+}
+
+bool StreamAgent::knowsAllFlows(TimePoint now) const
+{
+    return now >= m_adoptionDeadline;
+}
+
+bool StreamAgent::isOfThisAnswer(const HeldFlow &flow, const Segment &segment) const
+{
+    switch (flow.state) {
+    case HeldFlow::State::Offered:
+        // The target has not answered, so the caller cannot mean it, unless its segment is a copy of the opening.
+        return false;
+    case HeldFlow::State::Answered:
+        return segment.acknowledgement - (flow.targetSequence + 1) <= acknowledgementWindow;
+    default:
+        return true;
+    }
+}
+
+StreamMessage StreamAgent::answer(TimePoint now, StreamMessageKind kind, const FlowKey &key) const
+{
+    StreamMessage message;
+    message.kind = kind;
+    message.configurationVersion = m_directory.routes() != nullptr ? m_directory.routes()->version() : 0;
+    message.sender = m_settings.endpoint;
+    message.service = m_settings.service;
+    if (const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target)) {
+        message.target = own->target.id;
+        message.incarnation = own->target.incarnation;
+    }
+    message.flow = key;
+    message.load = load(now);
+    return message;
+}
+
+HeldFlow *StreamAgent::find(const FlowKey &key)
+{
+    const auto found = m_flows.find(key);
+    return found != m_flows.end() ? &found->second : nullptr;
+}
+
+Duration StreamAgent::idleTimeout() const
+{
+    return m_directory.routes() != nullptr ? m_directory.routes()->idleTimeout() : assumedIdleTimeout;
+}
+
+}
--- /dev/null
+++ b/packages/stream/streamagent.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "stream/flowsearch.h"
+#include "stream/heldflow.h"
+#include "stream/loadmeter.h"
+#include "stream/openingfence.h"
+#include "stream/segmentformat.h"
+#include "stream/streamaction.h"
+#include "stream/streamagentsettings.h"
+#include "stream/streamdecisions.h"
+#include "stream/targetdirectory.h"
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+
+namespace Rattanpick
+{
+
+/// Every decision of the process beside a target that holds byte-stream flows.
+///
+/// The target alone knows its flows: what it bounces it does not hold, what it sends for a flow shows that it does.
+class StreamAgent : public StreamDecisions
+{
+public:
+    /// Builds an agent that may stand beside a target with flows already; @p format must outlive it.
+    StreamAgent(const StreamAgentSettings &settings, const SegmentFormat &format, TimePoint now);
+
+    // StreamDecisions
+
+    void onDirectoryChange(TimePoint now, const DirectoryChange &change, StreamActions &actions) override;
+    void onPacket(TimePoint now, const QByteArray &packet, StreamActions &actions) override;
+    void onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions) override;
+    void onTick(TimePoint now, StreamActions &actions) override;
+    TimePoint nextDeadline() const override;
+    void onPause(TimePoint now) override;
+    void beginStop(TimePoint now, StreamActions &actions) override;
+    bool isStopped(TimePoint now) const override;
+    bool isReady() const override;
+
+    // Target and state
+
+    /// The target process has ended: its flows are over, and their callers are told.
+    void onTargetEnded(TimePoint now, StreamActions &actions);
+
+    /// What is known of targets and routes.
+    const TargetDirectory &directory() const
+    {
+        return m_directory;
+    }
+
+    /// The load as told to balancers.
+    LoadReport load(TimePoint now) const;
+
+private:
+    /// What a packet given to the target was for, in case that the target bounces it.
+    struct Delivery
+    {
+        quint32 tag = 0;
+        StreamMessage message;
+        FlowKey flow;
+    };
+
+    static constexpr std::size_t deliveryCount = 512;
+
+    // Messages
+    void onOpening(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions);
+    void onDeliver(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions);
+    void onProbe(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions);
+    void onLocate(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions);
+
+    // Packets of the target
+    void onBounced(TimePoint now, const QByteArray &packet, const Segment &segment, StreamActions &actions);
+    void onAnswer(TimePoint now, const FlowKey &key, HeldFlow &flow, const Segment &segment, StreamActions &actions);
+
+    // Steps
+    void passOpeningOn(const StreamMessage &message, const FlowKey &key, const QString &reason, StreamActions &actions);
+    void deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions);
+    void giveToTarget(const FlowKey &key, const StreamMessage &message, StreamActions &actions);
+    void denyFlow(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
+    void search(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
+    void resetAfterSearch(TimePoint now, const FlowKey &key, const QByteArray &packet, StreamActions &actions);
+    void noteCallerSegment(TimePoint now, HeldFlow &flow, const StreamMessage &message, const Segment &segment);
+    void breakFlow(TimePoint now, const FlowKey &key, HeldFlow &flow, const QString &reason, StreamActions &actions);
+    void forget(TimePoint now, const FlowKey &key);
+    void keep(TimePoint now, const FlowKey &key, HeldFlow &flow);
+    void rememberBalancer(TimePoint now, const Endpoint &balancer);
+    bool knowsAllFlows(TimePoint now) const;
+    bool isOfThisAnswer(const HeldFlow &flow, const Segment &segment) const;
+    StreamMessage answer(TimePoint now, StreamMessageKind kind, const FlowKey &key) const;
+    HeldFlow *find(const FlowKey &key);
+    Duration idleTimeout() const;
+
+    StreamAgentSettings m_settings;
+    const SegmentFormat &m_format;
+    TargetDirectory m_directory;
+    OpeningFence m_fence;
+    FlowSearch m_search;
+    LoadMeter m_meter;
+    std::unordered_map<FlowKey, HeldFlow> m_flows;
+    std::deque<std::pair<TimePoint, FlowKey>> m_expiries;
+    std::array<Delivery, deliveryCount> m_deliveries;
+    quint32 m_nextTag = 1;
+    /// Balancers that have sent segments, and until when they are told the load.
+    std::unordered_map<Endpoint, TimePoint> m_balancers;
+    TimePoint m_loadDeadline;
+    TimePoint m_adoptionDeadline;
+    Incarnation m_targetIncarnation{};
+    std::optional<TimePoint> m_stopDeadline;
+    TimePoint m_stopMinimumDeadline{};
+};
+
+}
--- /dev/null
+++ b/packages/stream/streambalancer.cpp
@@ -0,0 +1,348 @@
+#include "stream/streambalancer.h"
+
+#include <algorithm>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// Used while the configuration has told no idle time-out.
+constexpr Duration assumedIdleTimeout = 15s;
+
+}
+
+StreamBalancer::StreamBalancer(const StreamBalancerSettings &settings, const SegmentFormat &format)
+    : m_settings(settings)
+    , m_format(format)
+    , m_directory(settings.directory)
+    , m_placement(settings.placement)
+{
+}
+
+// Input
+
+void StreamBalancer::onDirectoryChange(TimePoint now, const DirectoryChange &change, StreamActions & /*actions*/)
+{
+    m_directory.apply(now, change);
+}
+
+void StreamBalancer::onPacket(TimePoint now, const QByteArray &packet, StreamActions &actions)
+{
+    const std::optional<Segment> segment = m_format.decode(packet);
+    if (!segment || segment->has(BouncedFlag) || m_directory.routes() == nullptr) {
+        return;
+    }
+    const FlowKey key = segment->flowFromCaller();
+    const Route *route = m_directory.routes()->findRoute(key.service);
+    if (route == nullptr) {
+        // While a peer has later routes, the address may be one of them, and a refusal would not be true.
+        if (!segment->has(RstFlag) && m_latestVersion <= m_directory.routes()->version()) {
+            reset(key, segment->acknowledgement, QStringLiteral("no route"), EventNumber::FlowRefused, actions);
+        }
+        m_flows.erase(key);
+        return;
+    }
+    if (segment->isOpening()) {
+        onOpening(now, packet, *segment, *route, actions);
+    } else {
+        onLaterSegment(now, packet, *segment, *route, actions);
+    }
+}
+
+void StreamBalancer::onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions)
+{
+    m_latestVersion = std::max(m_latestVersion, message.configurationVersion);
+    if (message.target != TargetId{}) {
+        m_placement.onAlive(now, message.target);
+    }
+    const auto found = m_flows.find(message.flow);
+    switch (message.kind) {
+    case StreamMessageKind::Held: {
+        m_placement.onLoad(now, message.target, message.load);
+        Flow &flow = found != m_flows.end() ? found->second : m_flows[message.flow];
+        flow.target = message.target;
+        flow.incarnation = message.incarnation;
+        flow.isHeld = true;
+        flow.opening.clear();
+        keep(now, message.flow, flow);
+        break;
+    }
+    case StreamMessageKind::NotHeld:
+        if (found != m_flows.end() && found->second.target == message.target) {
+            found->second.target = {};
+            found->second.isHeld = false;
+        }
+        break;
+    case StreamMessageKind::Ended:
+        m_flows.erase(message.flow);
+        break;
+    case StreamMessageKind::Load:
+        m_placement.onLoad(now, message.target, message.load);
+        break;
+    default:
+        // The other kinds are for agents.
+        break;
+    }
+    onTick(now, actions);
+}
+
+void StreamBalancer::onTick(TimePoint now, StreamActions &actions)
+{
+    m_directory.onTick(now);
+    while (!m_offers.empty()) {
+        const auto [deadline, key] = m_offers.front();
+        const auto found = m_flows.find(key);
+        const bool isAnswered = found == m_flows.end() || found->second.isHeld || found->second.opening.isEmpty();
+        // Answered openings are dropped early, so that they cause no wake-up.
+        if (!isAnswered && now < deadline) {
+            break;
+        }
+        m_offers.pop_front();
+        if (isAnswered) {
+            continue;
+        }
+        m_placement.onUnanswered(now, found->second.target);
+        m_pingDeadline = now;
+        if (found->second.offers < m_settings.offerAttempts) {
+            offerNext(now, key, found->second, actions);
+        }
+    }
+    if (now >= m_pingDeadline) {
+        m_pingDeadline = TimePoint::max();
+        for (const TargetId target : m_placement.takeDuePings(now)) {
+            const TargetDirectory::Entry *entry = m_directory.find(target);
+            if (entry == nullptr || !entry->isPresent()) {
+                m_placement.onAlive(now, target);
+                continue;
+            }
+            actions.emplace_back(SendStreamMessage{entry->agent, messageTo(StreamMessageKind::Ping, *entry)});
+            m_pingDeadline = now + m_settings.placement.pingInterval;
+        }
+    }
+    forgetExpired(now);
+}
+
+TimePoint StreamBalancer::nextDeadline() const
+{
+    TimePoint next = std::min(m_directory.nextDeadline(), m_pingDeadline);
+    if (!m_offers.empty()) {
+        next = std::min(next, m_offers.front().first);
+    }
+    return next;
+}
+
+void StreamBalancer::onPause(TimePoint /*now*/)
+{
+    // Agents fence what an outdated balancer sends; nothing is to be held here.
+}
+
+void StreamBalancer::beginStop(TimePoint now, StreamActions & /*actions*/)
+{
+    m_stopDeadline = m_stopDeadline.value_or(now + m_settings.stopLinger);
+}
+
+bool StreamBalancer::isStopped(TimePoint now) const
+{
+    return m_stopDeadline && now >= *m_stopDeadline;
+}
+
+bool StreamBalancer::isReady() const
+{
+    return m_directory.routes() != nullptr && m_directory.isComplete() && !m_stopDeadline;
+}
+
+void StreamBalancer::onOpening(TimePoint now, const QByteArray &packet, const Segment &segment, const Route &route, StreamActions &actions)
+{
+    const FlowKey key = segment.flowFromCaller();
+    Flow &flow = m_flows[key];
+    const bool isCopy = flow.openingSequence == segment.sequence && flow.offers > 0;
+    if (isCopy && flow.isHeld) {
+        // The answer of the target was lost; the target repeats it.
+        if (const TargetDirectory::Entry *entry = m_directory.find(flow.target)) {
+            StreamMessage message = messageTo(StreamMessageKind::Opening, *entry);
+            message.packet = packet;
+            actions.emplace_back(SendStreamMessage{entry->agent, std::move(message)});
+            keep(now, key, flow);
+            return;
+        }
+    }
+    if (!isCopy) {
+        flow = Flow{};
+        flow.openingSequence = segment.sequence;
+    }
+    flow.offers = 0;
+    flow.isHeld = false;
+    flow.candidates = candidatesFor(now, route, key);
+    flow.nextCandidate = 0;
+    flow.opening = QByteArray(packet.constData(), packet.size());
+    keep(now, key, flow);
+    offerNext(now, key, flow, actions);
+}
+
+void StreamBalancer::onLaterSegment(TimePoint now, const QByteArray &packet, const Segment &segment, const Route &route, StreamActions &actions)
+{
+    const FlowKey key = segment.flowFromCaller();
+    const auto found = m_flows.find(key);
+    if (found == m_flows.end() || found->second.target == TargetId{}) {
+        if (!segment.has(RstFlag)) {
+            locate(now, packet, key, route, actions);
+        }
+        return;
+    }
+    Flow &flow = found->second;
+    if (isGone(now, flow)) {
+        if (!segment.has(RstFlag)) {
+            reset(key, segment.acknowledgement, QStringLiteral("its target is gone"), EventNumber::FlowBroken, actions);
+        }
+        m_flows.erase(found);
+        return;
+    }
+    const TargetDirectory::Entry *entry = m_directory.find(flow.target);
+    StreamMessage message = messageTo(StreamMessageKind::Deliver, *entry);
+    if (!flow.isHeld) {
+        // The caller has an answer that this balancer has not heard of: it may come from any target tried.
+        message.candidates.assign(flow.candidates.begin(), flow.candidates.begin() + static_cast<std::ptrdiff_t>(flow.nextCandidate));
+        std::erase(message.candidates, flow.target);
+    }
+    message.packet = packet;
+    actions.emplace_back(SendStreamMessage{entry->agent, std::move(message)});
+    flow.forgetDeadline = now + (segment.has(FinFlag) || segment.has(RstFlag) ? m_settings.closingMemory : m_directory.routes()->idleTimeout());
+}
+
+std::vector<TargetId> StreamBalancer::candidatesFor(TimePoint now, const Route &route, const FlowKey &flow) const
+{
+    quint64 total = 0;
+    for (const ServiceShare &share : route.shares) {
+        total += share.weight;
+    }
+    // The share follows from the flow alone, so that each copy of an opening goes to the same service.
+    quint64 point = total > 0 ? hashPair(flow.hash(), total) % total : 0;
+    std::vector<ServiceId> services;
+    for (const ServiceShare &share : route.shares) {
+        if (point < share.weight) {
+            services.insert(services.begin(), share.service);
+            point = total;
+            continue;
+        }
+        services.push_back(share.service);
+        point -= point < total ? share.weight : 0;
+    }
+    for (const ServiceId service : services) {
+        std::vector<TargetId> candidates = m_placement.order(now, m_directory, service, flow, m_settings.candidateLimit);
+        if (!candidates.empty()) {
+            return candidates;
+        }
+    }
+    return {};
+}
+
+void StreamBalancer::offerNext(TimePoint now, const FlowKey &key, Flow &flow, StreamActions &actions)
+{
+    if (flow.candidates.empty()) {
+        reset(key, 0, QStringLiteral("no target takes flows"), EventNumber::FlowRefused, actions);
+        m_flows.erase(key);
+        return;
+    }
+    const std::size_t index = std::min(flow.nextCandidate, flow.candidates.size() - 1);
+    flow.nextCandidate = index + 1;
+    ++flow.offers;
+    const TargetDirectory::Entry *entry = m_directory.find(flow.candidates[index]);
+    if (entry == nullptr) {
+        return;
+    }
+    flow.target = entry->target.id;
+    flow.incarnation = entry->target.incarnation;
+    StreamMessage message = messageTo(StreamMessageKind::Opening, *entry);
+    message.candidates.assign(flow.candidates.begin() + static_cast<std::ptrdiff_t>(index) + 1, flow.candidates.end());
+    message.packet = flow.opening;
+    m_placement.onOffered(now, flow.target);
+    m_offers.emplace_back(now + m_settings.offerTimeout, key);
+    actions.emplace_back(SendStreamMessage{entry->agent, std::move(message)});
+}
+
+void StreamBalancer::locate(TimePoint now, const QByteArray &packet, const FlowKey &key, const Route &route, StreamActions &actions)
+{
+    // The same agent searches for all packets of a flow as long as it answers, so that one search serves them all.
+    const TargetDirectory::Entry *best = nullptr;
+    std::pair<bool, quint64> bestRank;
+    for (const auto &[id, entry] : m_directory.entries()) {
+        const bool isOfRoute = std::ranges::any_of(route.shares, [&entry](const ServiceShare &share) { return share.service == entry.target.service; });
+        if (!entry.isPresent() || !isOfRoute) {
+            continue;
+        }
+        const std::pair rank(!m_placement.isSuspected(now, id), hashPair(key.hash(), static_cast<quint64>(id)));
+        if (best == nullptr || rank > bestRank) {
+            best = &entry;
+            bestRank = rank;
+        }
+    }
+    if (best == nullptr) {
+        return;
+    }
+    StreamMessage message = messageTo(StreamMessageKind::Locate, *best);
+    message.packet = packet;
+    actions.emplace_back(SendStreamMessage{best->agent, std::move(message)});
+}
+
+bool StreamBalancer::isGone(TimePoint now, const Flow &flow) const
+{
+    const TargetDirectory::Entry *entry = m_directory.find(flow.target);
+    if (entry == nullptr) {
+        return true;
+    }
+    if (flow.incarnation != Incarnation{} && entry->target.incarnation != flow.incarnation) {
+        return true;
+    }
+    // A missing entry alone proves nothing while the agent beside the target still answers.
+    return !entry->isPresent() && !m_placement.isHeard(now, flow.target, m_settings.departedHearing);
+}
+
+void StreamBalancer::reset(const FlowKey &key, quint32 sequence, const QString &reason, EventNumber number, StreamActions &actions) const
+{
+    actions.emplace_back(SendToStreamCaller{key.caller, m_format.reset(key, sequence)});
+    actions.emplace_back(RecordStreamEvent{number, key, reason});
+}
+
+StreamMessage StreamBalancer::messageTo(StreamMessageKind kind, const TargetDirectory::Entry &entry) const
+{
+    StreamMessage message;
+    message.kind = kind;
+    message.configurationVersion = m_directory.routes() != nullptr ? m_directory.routes()->version() : 0;
+    message.sender = m_settings.endpoint;
+    message.balancer = m_settings.endpoint;
+    message.service = entry.target.service;
+    message.target = entry.target.id;
+    message.incarnation = entry.target.incarnation;
+    return message;
+}
+
+void StreamBalancer::keep(TimePoint now, const FlowKey &key, Flow &flow)
+{
+    const bool isNew = flow.forgetDeadline == TimePoint{};
+    const Duration idleTimeout = m_directory.routes() != nullptr ? m_directory.routes()->idleTimeout() : assumedIdleTimeout;
+    flow.forgetDeadline = now + idleTimeout;
+    if (isNew) {
+        m_expiries.emplace_back(flow.forgetDeadline, key);
+    }
+}
+
+void StreamBalancer::forgetExpired(TimePoint now)
+{
+    while (!m_expiries.empty() && now >= m_expiries.front().first) {
+        const FlowKey key = m_expiries.front().second;
+        m_expiries.pop_front();
+        const auto found = m_flows.find(key);
+        if (found == m_flows.end()) {
+            continue;
+        }
+        if (now >= found->second.forgetDeadline) {
+            m_flows.erase(found);
+            continue;
+        }
+        m_expiries.emplace_back(found->second.forgetDeadline, key);
+    }
+}
+
+}
--- /dev/null
+++ b/packages/stream/streambalancer.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "stream/placement.h"
+#include "stream/segmentformat.h"
+#include "stream/streamaction.h"
+#include "stream/streambalancersettings.h"
+#include "stream/streamdecisions.h"
+#include "stream/targetdirectory.h"
+
+#include <deque>
+#include <unordered_map>
+
+namespace Rattanpick
+{
+
+/// Every decision of a balancer about packets of byte-stream flows.
+///
+/// What it keeps of a flow is a cache: any packet of a flow that it does not know reaches its target through an agent.
+class StreamBalancer : public StreamDecisions
+{
+public:
+    /// Builds a balancer without a configuration; @p format must outlive it.
+    StreamBalancer(const StreamBalancerSettings &settings, const SegmentFormat &format);
+
+    // StreamDecisions
+
+    void onDirectoryChange(TimePoint now, const DirectoryChange &change, StreamActions &actions) override;
+    void onPacket(TimePoint now, const QByteArray &packet, StreamActions &actions) override;
+    void onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions) override;
+    void onTick(TimePoint now, StreamActions &actions) override;
+    TimePoint nextDeadline() const override;
+    void onPause(TimePoint now) override;
+    void beginStop(TimePoint now, StreamActions &actions) override;
+    bool isStopped(TimePoint now) const override;
+    bool isReady() const override;
+
+    // State
+
+    /// What is known of targets and routes.
+    const TargetDirectory &directory() const
+    {
+        return m_directory;
+    }
+
+    /// Flows whose target is kept.
+    std::size_t flowCount() const
+    {
+        return m_flows.size();
+    }
+
+private:
+    struct Flow
+    {
+        /// The target that holds the flow or was offered it last; 0 if not known.
+        TargetId target{};
+        Incarnation incarnation{};
+        /// Whether the target is known to hold the flow.
+        bool isHeld = false;
+        quint32 openingSequence = 0;
+        /// The opening as the caller sent it, until a target has answered.
+        QByteArray opening;
+        std::vector<TargetId> candidates;
+        std::size_t nextCandidate = 0;
+        int offers = 0;
+        TimePoint forgetDeadline{};
+    };
+
+    void onOpening(TimePoint now, const QByteArray &packet, const Segment &segment, const Route &route, StreamActions &actions);
+    void onLaterSegment(TimePoint now, const QByteArray &packet, const Segment &segment, const Route &route, StreamActions &actions);
+    std::vector<TargetId> candidatesFor(TimePoint now, const Route &route, const FlowKey &flow) const;
+    void offerNext(TimePoint now, const FlowKey &key, Flow &flow, StreamActions &actions);
+    void locate(TimePoint now, const QByteArray &packet, const FlowKey &key, const Route &route, StreamActions &actions);
+    bool isGone(TimePoint now, const Flow &flow) const;
+    void reset(const FlowKey &key, quint32 sequence, const QString &reason, EventNumber number, StreamActions &actions) const;
+    StreamMessage messageTo(StreamMessageKind kind, const TargetDirectory::Entry &entry) const;
+    void keep(TimePoint now, const FlowKey &key, Flow &flow);
+    void forgetExpired(TimePoint now);
+
+    StreamBalancerSettings m_settings;
+    const SegmentFormat &m_format;
+    TargetDirectory m_directory;
+    Placement m_placement;
+    std::unordered_map<FlowKey, Flow> m_flows;
+    /// Openings that wait for an answer, in the order of their deadlines.
+    std::deque<std::pair<TimePoint, FlowKey>> m_offers;
+    /// When each flow is looked at again, in the order of these times.
+    std::deque<std::pair<TimePoint, FlowKey>> m_expiries;
+    TimePoint m_pingDeadline = TimePoint::max();
+    std::optional<TimePoint> m_stopDeadline;
+    /// The latest version of the routes that any peer has in force.
+    quint64 m_latestVersion = 0;
+};
+
+}
--- /dev/null
+++ b/packages/stream/streamdecisions.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "stream/directorychange.h"
+#include "stream/streamaction.h"
+
+#include <QByteArray>
+
+namespace Rattanpick
+{
+
+/// What the decision objects of both roles have in common, as the duty that drives them sees it.
+class StreamDecisions
+{
+public:
+    virtual ~StreamDecisions() = default;
+
+    /// Takes in a change of targets, data centres or routes.
+    virtual void onDirectoryChange(TimePoint now, const DirectoryChange &change, StreamActions &actions) = 0;
+
+    /// A packet of a caller (balancers) or of the target beside this process (agents).
+    virtual void onPacket(TimePoint now, const QByteArray &packet, StreamActions &actions) = 0;
+
+    /// A message of another process of the system.
+    virtual void onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions) = 0;
+
+    /// Does what is due.
+    virtual void onTick(TimePoint now, StreamActions &actions) = 0;
+
+    /// When onTick() has something to do next; the duty calls it once a second besides.
+    virtual TimePoint nextDeadline() const = 0;
+
+    /// The process was paused: what waited in its sockets has been thrown away.
+    virtual void onPause(TimePoint now) = 0;
+
+    /// A planned stop begins.
+    virtual void beginStop(TimePoint now, StreamActions &actions) = 0;
+
+    /// Whether the planned stop may end.
+    virtual bool isStopped(TimePoint now) const = 0;
+
+    /// Whether callers may be sent here.
+    virtual bool isReady() const = 0;
+};
+
+}
--- /dev/null
+++ b/packages/stream/streammessagecodec.cpp
@@ -0,0 +1,108 @@
+#include "stream/streammessagecodec.h"
+
+#include "core/assertion.h"
+#include "fabric/wireformat.h"
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// Tells these messages from others that may arrive at the port.
+constexpr quint8 magic = 0x5b;
+/// A header with candidates and a flow takes 100 bytes, the largest packet 1,232.
+constexpr qsizetype expectedSize = 1400;
+
+bool carriesSegment(StreamMessageKind kind)
+{
+    return kind <= StreamMessageKind::Probe;
+}
+
+bool namesFlow(StreamMessageKind kind)
+{
+    return kind == StreamMessageKind::Held || kind == StreamMessageKind::NotHeld || kind == StreamMessageKind::Ended;
+}
+
+bool tellsLoad(StreamMessageKind kind)
+{
+    return kind == StreamMessageKind::Held || kind == StreamMessageKind::Load;
+}
+
+QDataStream &operator<<(QDataStream &stream, const LoadReport &load)
+{
+    return stream << load.requestsInProgress << load.meanInProgressHundredths << load.flows << load.serviceMicroseconds << quint8{load.isClosed};
+}
+
+void readLoad(QDataStream &stream, LoadReport &load)
+{
+    stream >> load.requestsInProgress >> load.meanInProgressHundredths >> load.flows >> load.serviceMicroseconds;
+    readWireBool(stream, load.isClosed);
+}
+
+void readCandidates(QDataStream &stream, std::vector<TargetId> &candidates)
+{
+    quint8 count = 0;
+    stream >> count;
+    requireWire(stream, count <= maximumCandidates);
+    for (quint8 index = 0; index < count && stream.status() == QDataStream::Ok; ++index) {
+        TargetId candidate{};
+        stream >> candidate;
+        candidates.push_back(candidate);
+    }
+}
+
+}
+
+QByteArray encodeStreamMessage(const StreamMessage &message)
+{
+    RP_ASSERT(message.candidates.size() <= maximumCandidates);
+    QByteArray datagram;
+    datagram.reserve(expectedSize);
+    QDataStream stream(&datagram, QIODevice::WriteOnly);
+    stream.setVersion(wireVersion);
+    stream << magic << message.kind << message.hopCount << message.configurationVersion << message.sender << message.balancer << message.service
+           << message.target << message.incarnation;
+    if (namesFlow(message.kind)) {
+        stream << message.flow;
+    }
+    if (tellsLoad(message.kind)) {
+        stream << message.load;
+    }
+    if (carriesSegment(message.kind)) {
+        stream << static_cast<quint8>(message.candidates.size());
+        for (const TargetId candidate : message.candidates) {
+            stream << candidate;
+        }
+        stream.writeRawData(message.packet.constData(), static_cast<int>(message.packet.size()));
+    }
+    return datagram;
+}
+
+std::optional<StreamMessage> decodeStreamMessage(QByteArrayView datagram)
+{
+    const QByteArray bytes = QByteArray::fromRawData(datagram.data(), datagram.size());
+    QDataStream stream(bytes);
+    stream.setVersion(wireVersion);
+    quint8 mark = 0;
+    StreamMessage message;
+    stream >> mark >> message.kind >> message.hopCount >> message.configurationVersion >> message.sender >> message.balancer >> message.service
+        >> message.target >> message.incarnation;
+    requireWire(stream, mark == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::Ping);
+    if (namesFlow(message.kind)) {
+        stream >> message.flow;
+    }
+    if (tellsLoad(message.kind)) {
+        readLoad(stream, message.load);
+    }
+    if (carriesSegment(message.kind)) {
+        readCandidates(stream, message.candidates);
+        message.packet = QByteArray(datagram.data() + stream.device()->pos(), datagram.size() - stream.device()->pos());
+        requireWire(stream, !message.packet.isEmpty());
+    } else {
+        requireWire(stream, stream.atEnd());
+    }
+    return stream.status() == QDataStream::Ok ? std::optional(std::move(message)) : std::nullopt;
+}
+
+}
--- /dev/null
+++ b/packages/stream/streamprocesssettings.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/endpoint.h"
+#include "core/event.h"
+#include "core/timepoint.h"
+#include "operators/daemonsettings.h"
+
+#include <QString>
+
+namespace Rattanpick
+{
+
+/// The settings file of a process that forwards byte-stream flows, for both roles.
+struct StreamProcessSettings
+{
+    // Both roles
+
+    /// Name of this process in events and logs.
+    QString name;
+    DaemonRole role = DaemonRole::Balancer;
+    QString dataCentre;
+    /// Where messages of our own processes arrive (UDP). The port is the same for all agents.
+    Endpoint messages;
+    /// Where the network asks whether callers may be sent here (HTTP).
+    Endpoint ready;
+    /// Where measurements are served (HTTP).
+    Endpoint metrics;
+    /// Where targets, data centres and routes are published (HTTP).
+    Endpoint directory;
+    /// Where the network delivers packets of callers to a balancer (UDP); it delivers to callers at the same port.
+    Endpoint callers;
+    /// Log lines below this level are left out.
+    EventLevel logLevel = EventLevel::Info;
+    /// The longest time from the order to stop until the process is killed.
+    Duration stopGrace = 6s;
+    /// A flow that is older may be forgotten.
+    Duration maximumFlowAge = 60s;
+
+    // Agent
+
+    /// Where the target sends its packets (UDP); null for balancers.
+    Endpoint outbound;
+    /// Where the target receives packets (UDP).
+    Endpoint target;
+    /// Name of the target's service.
+    QString service;
+    /// A cold target bears this factor times its stated requests per second, and the slack on top.
+    double coldFactor = 1.0;
+    double coldSlack = 0;
+
+    bool operator==(const StreamProcessSettings &) const = default;
+};
+
+}
--- /dev/null
+++ b/packages/stream/targetdirectory.cpp
@@ -0,0 +1,171 @@
+#include "stream/targetdirectory.h"
+
+#include <algorithm>
+
+namespace Rattanpick
+{
+
+TargetDirectory::TargetDirectory(const TargetDirectorySettings &settings)
+    : m_settings(settings)
+{
+}
+
+// Input
+
+void TargetDirectory::apply(TimePoint now, const DirectoryChange &change)
+{
+    onTick(now);
+    std::visit([this, now](const auto &part) { applyChange(now, part); }, change);
+}
+
+void TargetDirectory::onTick(TimePoint now)
+{
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        if (now < entry->second.listingDeadline) {
+            ++entry;
+            continue;
+        }
+        ++m_generation;
+        if (entry->second.listing == Listing::Departed) {
+            entry = m_entries.erase(entry);
+            continue;
+        }
+        depart(now, entry->second);
+        ++entry;
+    }
+}
+
+void TargetDirectory::applyChange(TimePoint now, const TargetListed &change)
+{
+    Entry &entry = m_entries[change.target.id];
+    if (change.revision < entry.revision) {
+        return;
+    }
+    const bool isNewLife = entry.target.incarnation != change.target.incarnation;
+    if (!change.target.isDraining) {
+        entry.drainingSince.reset();
+    } else if (!entry.drainingSince || isNewLife) {
+        entry.drainingSince = now;
+    }
+    entry.target = change.target;
+    entry.agent = {change.target.address.address, m_settings.agentPort};
+    entry.revision = change.revision;
+    entry.listing = Listing::Listed;
+    entry.listingDeadline = TimePoint::max();
+    ++m_generation;
+    // An address has one target: a later entry for it shows that the earlier target is gone.
+    for (auto &[id, other] : m_entries) {
+        if (id == change.target.id || other.target.address != change.target.address || !other.isPresent() || other.revision > change.revision) {
+            continue;
+        }
+        depart(now, other);
+    }
+}
+
+void TargetDirectory::applyChange(TimePoint now, const TargetUnlisted &change)
+{
+    const auto found = m_entries.find(targetIdOf(change.name.toUtf8()));
+    if (found != m_entries.end()) {
+        unlist(now, found->second, change.revision);
+    }
+}
+
+void TargetDirectory::applyChange(TimePoint now, const DataCentreSwitched &change)
+{
+    DataCentreState &state = m_dataCentres[change.name];
+    if (change.revision < state.revision) {
+        return;
+    }
+    state.revision = change.revision;
+    if (state.isOut && !change.isOut) {
+        state.returnedAt = now;
+    }
+    state.isOut = change.isOut;
+    ++m_generation;
+}
+
+void TargetDirectory::applyChange(TimePoint /*now*/, const RoutesPublished &change)
+{
+    // Versions only rise within the life of a process, also when a reading is behind.
+    if (m_routes == nullptr || change.routes->version() > m_routes->version()) {
+        m_routes = change.routes;
+        ++m_generation;
+    }
+}
+
+void TargetDirectory::applyChange(TimePoint now, const ReadingCompleted &change)
+{
+    for (auto &[id, entry] : m_entries) {
+        if (!change.targets.contains(entry.target.name)) {
+            unlist(now, entry, change.revision);
+        }
+    }
+    for (auto state = m_dataCentres.begin(); state != m_dataCentres.end(); ++state) {
+        if (state->isOut && state->revision <= change.revision && !change.dataCentresOut.contains(state.key())) {
+            applyChange(now, DataCentreSwitched{change.revision, state.key(), false});
+        }
+    }
+    m_isComplete = true;
+    ++m_generation;
+}
+
+void TargetDirectory::applyChange(TimePoint now, const SourceSwitched &change)
+{
+    if (change.isAvailable && !m_isSourceAvailable && m_isComplete) {
+        m_settledDeadline = now + m_settings.returnGrace;
+    }
+    m_isSourceAvailable = change.isAvailable;
+}
+
+void TargetDirectory::unlist(TimePoint now, Entry &entry, quint64 revision)
+{
+    if (!entry.isPresent() || entry.revision > revision) {
+        return;
+    }
+    entry.revision = revision;
+    ++m_generation;
+    if (isSettled(now) || entry.target.isDraining) {
+        depart(now, entry);
+        return;
+    }
+    // Entries expire while the source is away although their targets live; those register again soon.
+    entry.listing = Listing::Lapsed;
+    entry.listingDeadline = std::max(m_settledDeadline, now + m_settings.returnGrace);
+}
+
+void TargetDirectory::depart(TimePoint now, Entry &entry)
+{
+    entry.listing = Listing::Departed;
+    entry.listingDeadline = now + m_settings.departedMemory;
+}
+
+// Targets
+
+const TargetDirectory::Entry *TargetDirectory::find(TargetId id) const
+{
+    const auto found = m_entries.find(id);
+    return found != m_entries.end() ? &found->second : nullptr;
+}
+
+const TargetDirectory::Entry *TargetDirectory::findAt(const Endpoint &address) const
+{
+    const auto found =
+        std::ranges::find_if(m_entries, [&address](const auto &item) { return item.second.target.address == address && item.second.isPresent(); });
+    return found != m_entries.end() ? &found->second : nullptr;
+}
+
+bool TargetDirectory::takesFlows(const Entry &entry) const
+{
+    return entry.isPresent() && !entry.target.isDraining && !isOut(entry.target.dataCentre);
+}
+
+TimePoint TargetDirectory::nextDeadline() const
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &[id, entry] : m_entries) {
+        next = std::min(next, entry.listingDeadline);
+    }
+    return next;
+}
+
+}
--- a/proof/configurationsource.h
+++ b/proof/configurationsource.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "configservice/instance.h"
 #include "core/timepoint.h"
-#include "platform/instance.h"
 #include "spread/spreadaction.h"
 
 #include <QByteArray>
--- a/proof/scenarioprocess.h
+++ b/proof/scenarioprocess.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "balancer/router.h"
-#include "platform/instance.h"
+#include "configservice/instance.h"
 #include "proof/agentundertest.h"
 #include "proof/configurationsource.h"
 #include "proof/fakenetwork.h"
--- a/proof/spread/spreadfleet.cpp
+++ b/proof/spread/spreadfleet.cpp
@@ -1,8 +1,8 @@
 #include "proof/spread/spreadfleet.h"
 
+#include <configservice/backoff.h>
 #include <core/assertion.h>
 #include <core/identifiers.h>
-#include <platform/backoff.h>
 
 #include <algorithm>
 #include <tuple>
--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -1,6 +1,6 @@
 #include "standins/platformstandin.h"
 
-#include <platform/documentmanifest.h>
+#include <configservice/documentmanifest.h>
 
 #include <QDateTime>
 #include <QDir>
--- a/tests/platform/backofftest.cpp
+++ b/tests/configservice/backofftest.cpp
@@ -1,4 +1,4 @@
-#include <platform/backoff.h>
+#include <configservice/backoff.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/platform/documentassemblertest.cpp
+++ b/tests/configservice/documentassemblertest.cpp
@@ -1,5 +1,5 @@
-#include <platform/documentassembler.h>
-#include <platform/documentsplitter.h>
+#include <configservice/documentassembler.h>
+#include <configservice/documentsplitter.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
--- a/tests/platform/platformclienttest.cpp
+++ b/tests/configservice/platformclienttest.cpp
@@ -1,6 +1,6 @@
-#include <platform/documentsplitter.h>
-#include <platform/instancelistcodec.h>
-#include <platform/platformclient.h>
+#include <configservice/documentsplitter.h>
+#include <configservice/instancelistcodec.h>
+#include <configservice/platformclient.h>
 #include <standins/platformstandin.h>
 
 #include <gtest/gtest.h>
--- a/tests/platform/readerelectiontest.cpp
+++ b/tests/configservice/readerelectiontest.cpp
@@ -1,4 +1,4 @@
-#include <platform/readerelection.h>
+#include <configservice/readerelection.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
