Find watches that have gone deaf by sparse verifications

Ruled out: shorter watches (each costs a call for each process); stale reads (they are as late as the watch while the store drops its history).

Change: FreshnessGuard. Messages carry the directory's revision and how long ago it was verified; the first process whose verification is too old asks the store for its revision, and its messages spare the others the call.

--- a/apps/rattanpickd/directoryduty.cpp
+++ b/apps/rattanpickd/directoryduty.cpp
@@ -34,10 +34,30 @@
             }
             continue;
         }
-        take(Clock::now(), call(next));
+        const SourceAnswer answer = call(next);
+        const TimePoint end = Clock::now();
+        record(next, answer, end - now);
+        take(end, answer);
     }
 }
 
+void DirectoryDuty::record(const SourceCall &call, const SourceAnswer &answer, Duration elapsed)
+{
+    const bool isReading = call.kind == SourceCall::Kind::ReadAll;
+    if (answer.result == SourceResult::Failed || (answer.changes.empty() && answer.result == SourceResult::Read)) {
+        return;
+    }
+    const QString what =
+        answer.result == SourceResult::HistoryGone ? QStringLiteral("history is gone") : QStringLiteral("%1 changes").arg(answer.changes.size());
+    m_context.log.record(EventNumber::DirectoryRead,
+                         QStringLiteral("%1 after revision %2 up to revision %3: %4, %5 ms")
+                             .arg(isReading ? QStringLiteral("reading") : QStringLiteral("watch"))
+                             .arg(isReading ? 0 : call.afterRevision)
+                             .arg(answer.revision)
+                             .arg(what)
+                             .arg(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()));
+}
+
 SourceAnswer DirectoryDuty::call(const SourceCall &call)
 {
     m_context.metrics.counter(QStringLiteral("directory.calls")).add();
@@ -58,10 +78,10 @@
     } else if (isAvailable && !answer.remark.isEmpty()) {
         m_context.log.record(EventNumber::DirectoryEntryRefused, answer.remark);
     }
-    if (answer.changes.empty()) {
+    if (answer.changes.empty() && answer.result != SourceResult::Read) {
         return;
     }
-    if (!m_context.changes.push(std::make_shared<const std::vector<DirectoryChange>>(std::move(answer.changes)))) {
+    if (!m_context.changes.push(std::make_shared<const DirectoryBatch>(DirectoryBatch{answer.revision, std::move(answer.changes)}))) {
         // What was lost is read again; what did arrive stays valid, since revisions order the changes.
         m_context.log.record(EventNumber::RingFull, QStringLiteral("directory changes"));
         m_watcher.requestReading();
--- a/apps/rattanpickd/directoryduty.h
+++ b/apps/rattanpickd/directoryduty.h
@@ -20,6 +20,7 @@
     void run();
 
 private:
+    void record(const SourceCall &call, const SourceAnswer &answer, Duration elapsed);
     SourceAnswer call(const SourceCall &call);
     void take(TimePoint now, SourceAnswer answer);
 
--- a/apps/rattanpickd/streamcontext.h
+++ b/apps/rattanpickd/streamcontext.h
@@ -15,6 +15,22 @@
 namespace Rattanpick
 {
 
+/// The changes of one answer of the directory source.
+struct DirectoryBatch
+{
+    /// The revision that the directory has reached after the changes.
+    quint64 revision = 0;
+    std::vector<DirectoryChange> changes;
+};
+
+/// The end of one verification.
+struct Verification
+{
+    TimePoint sentAt{};
+    /// The revision of the source; nothing if it did not answer.
+    std::optional<quint64> revision;
+};
+
 /// What the duties of one process that forwards byte-stream flows share.
 struct StreamContext
 {
@@ -40,16 +56,21 @@
     Metrics metrics;
 
     /// From the directory duty to the packet duty.
-    BoundedRing<std::shared_ptr<const std::vector<DirectoryChange>>> changes{changeRingSize};
+    BoundedRing<std::shared_ptr<const DirectoryBatch>> changes{changeRingSize};
+    /// From the verification duty to the packet duty; there is at most one verification at a time.
+    BoundedRing<Verification> verifications{changeRingSize};
     Wakeup packetWakeup;
     Wakeup directoryWakeup;
+    Wakeup verificationWakeup;
 
     /// Whether callers may be sent here; the packet duty sets it.
     std::atomic<bool> isReady = false;
     /// Set by the signal that orders a planned stop.
     std::atomic<bool> isStopping = false;
-    /// The process was paused; the directory duty reads everything again.
+    /// The directory duty is to read everything again.
     std::atomic<bool> isReadingWanted = false;
+    /// The verification duty is to ask the source for its revision.
+    std::atomic<bool> isVerificationWanted = false;
     /// Set when all duties shall end.
     std::atomic<bool> isEnding = false;
 };
--- a/apps/rattanpickd/streamdaemon.cpp
+++ b/apps/rattanpickd/streamdaemon.cpp
@@ -3,6 +3,7 @@
 #include "directoryduty.h"
 #include "streamcontext.h"
 #include "streamduty.h"
+#include "verificationduty.h"
 
 #include "core/logging.h"
 #include "operators/httpserver.h"
@@ -104,13 +105,18 @@
     DirectoryDuty directory(context);
     std::thread directoryThread([&directory] { directory.run(); });
 
+    VerificationDuty verification(context);
+    std::thread verificationThread([&verification] { verification.run(); });
+
     packets.run();
 
     context.log.record(EventNumber::ProcessStopped, QStringLiteral("finished"));
     context.isEnding = true;
     source.cancel();
     context.directoryWakeup.notify();
+    context.verificationWakeup.notify();
     directoryThread.join();
+    verificationThread.join();
     return 0;
 }
 
--- a/apps/rattanpickd/streamduty.cpp
+++ b/apps/rattanpickd/streamduty.cpp
@@ -6,7 +6,11 @@
 
 #include <poll.h>
 
+#include <QRandomGenerator>
+
+#include <algorithm>
 #include <array>
+#include <limits>
 
 namespace Rattanpick
 {
@@ -50,6 +54,7 @@
 StreamDuty::StreamDuty(StreamContext &context)
     : m_context(context)
     , m_decisions(makeDecisions(context.settings, context.format, Clock::now()))
+    , m_freshness(FreshnessGuardSettings{.seed = QRandomGenerator::system()->generate64()}, Clock::now())
     , m_messages(receiveBatch)
     , m_packets(receiveBatch)
     , m_latestStep(Clock::now())
@@ -124,14 +129,16 @@
         m_tickDeadline = now + tickInterval;
         m_decisions->onTick(now, m_actions);
     }
-    carryOut();
+    carryOut(now);
+    keepFresh(now);
     m_context.isReady = m_decisions->isReady();
 }
 
 void StreamDuty::takeChanges(TimePoint now)
 {
-    while (const auto changes = m_context.changes.pop()) {
-        for (const DirectoryChange &change : **changes) {
+    while (const auto batch = m_context.changes.pop()) {
+        m_freshness.onRevision(now, (*batch)->revision);
+        for (const DirectoryChange &change : (*batch)->changes) {
             m_decisions->onDirectoryChange(now, change, m_actions);
             const auto *published = std::get_if<RoutesPublished>(&change);
             if (published == nullptr) {
@@ -143,6 +150,32 @@
     }
 }
 
+void StreamDuty::keepFresh(TimePoint now)
+{
+    while (const std::optional<Verification> verification = m_context.verifications.pop()) {
+        if (verification->revision) {
+            m_freshness.onVerified(now, verification->sentAt, *verification->revision);
+        } else {
+            m_freshness.onVerificationFailed(now);
+        }
+    }
+    if (m_freshness.takeVerification(now)) {
+        m_context.isVerificationWanted = true;
+        m_context.verificationWakeup.notify();
+    }
+    if (m_freshness.takeReading(now)) {
+        m_context.log.record(EventNumber::WatchDeaf, QStringLiteral("the directory is at revision %1").arg(m_freshness.revision()));
+        readAgain();
+    }
+}
+
+void StreamDuty::readAgain()
+{
+    m_context.isReadingWanted = true;
+    m_context.directoryWakeup.notify();
+    m_context.source.interrupt();
+}
+
 void StreamDuty::receiveMessages(TimePoint now)
 {
     for (const ReceivedDatagram &datagram : m_messages.receive()) {
@@ -152,8 +185,9 @@
             m_malformedMessages.add();
             continue;
         }
+        m_freshness.onPeer(now, message->directoryRevision, std::chrono::milliseconds(message->verifiedMilliseconds));
         m_decisions->onMessage(now, *message, m_actions);
-        carryOut();
+        carryOut(now);
     }
 }
 
@@ -163,7 +197,7 @@
         m_receivedPackets.add();
         m_decisions->onPacket(now, QByteArray::fromRawData(datagram.bytes.data(), datagram.bytes.size()), m_actions);
         // The packet is valid until the next receive() only, so what is to be done with it is done now.
-        carryOut();
+        carryOut(now);
     }
 }
 
@@ -181,16 +215,28 @@
         }
     }
     m_decisions->onPause(now);
-    m_context.isReadingWanted = true;
-    m_context.source.interrupt();
+    readAgain();
+}
+
+bool StreamDuty::send(TimePoint now, const SendStreamMessage &action)
+{
+    // An agent that was started in mid-flow knows no balancer of the flow.
+    if (action.to.isNull()) {
+        return true;
+    }
+    StreamMessage message = action.message;
+    message.directoryRevision = m_freshness.revision();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_freshness.age(now)).count();
+    message.verifiedMilliseconds = static_cast<quint16>(std::min<std::int64_t>(age, std::numeric_limits<quint16>::max()));
+    return m_messages.send(action.to, encodeStreamMessage(message));
 }
 
-void StreamDuty::carryOut()
+void StreamDuty::carryOut(TimePoint now)
 {
     for (const StreamAction &action : m_actions) {
         bool isSent = true;
         if (const auto *message = std::get_if<SendStreamMessage>(&action)) {
-            isSent = message->to.isNull() || m_messages.send(message->to, encodeStreamMessage(message->message));
+            isSent = send(now, *message);
         } else if (const auto *toTarget = std::get_if<SendToStreamTarget>(&action)) {
             isSent = m_packets.send(m_context.settings.target, toTarget->packet);
         } else if (const auto *toCaller = std::get_if<SendToStreamCaller>(&action)) {
@@ -207,7 +253,7 @@
 
 Duration StreamDuty::timeToNext(TimePoint now) const
 {
-    const TimePoint next = std::min(m_tickDeadline, m_decisions->nextDeadline());
+    const TimePoint next = std::min({m_tickDeadline, m_decisions->nextDeadline(), m_freshness.nextDeadline()});
     return std::max(Duration::zero(), next - now);
 }
 
--- a/apps/rattanpickd/streamduty.h
+++ b/apps/rattanpickd/streamduty.h
@@ -3,6 +3,7 @@
 #include "streamcontext.h"
 
 #include "fabric/udpsocket.h"
+#include "stream/freshnessguard.h"
 #include "stream/streamdecisions.h"
 
 #include <memory>
@@ -35,14 +36,18 @@
 private:
     void step(bool hasMessages, bool hasPackets);
     void takeChanges(TimePoint now);
+    void keepFresh(TimePoint now);
+    void readAgain();
     void receiveMessages(TimePoint now);
     void receivePackets(TimePoint now);
     void discardAfterPause(TimePoint now);
-    void carryOut();
+    void carryOut(TimePoint now);
+    bool send(TimePoint now, const SendStreamMessage &action);
     Duration timeToNext(TimePoint now) const;
 
     StreamContext &m_context;
     std::unique_ptr<StreamDecisions> m_decisions;
+    FreshnessGuard m_freshness;
     UdpSocket m_messages;
     /// Packets of callers (balancers) or of the target (agents).
     UdpSocket m_packets;
--- /dev/null
+++ b/apps/rattanpickd/verificationduty.cpp
@@ -0,0 +1,39 @@
+#include "verificationduty.h"
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// The longest wait between two looks at whether the process ends.
+constexpr Duration waitLimit = 10s;
+/// A source that does not answer for this long is not there.
+constexpr Duration answerTimeout = 1s;
+
+}
+
+VerificationDuty::VerificationDuty(StreamContext &context)
+    : m_context(context)
+{
+}
+
+void VerificationDuty::run()
+{
+    while (!m_context.isEnding) {
+        m_context.verificationWakeup.arm();
+        if (!m_context.isVerificationWanted.exchange(false)) {
+            if (!m_context.isEnding) {
+                m_context.verificationWakeup.wait(waitLimit);
+            }
+            continue;
+        }
+        const TimePoint sentAt = Clock::now();
+        m_context.metrics.counter(QStringLiteral("directory.verifications")).add();
+        // There is one verification at a time, so the ring always has room.
+        m_context.verifications.push({sentAt, m_context.source.currentRevision(sentAt + answerTimeout)});
+        m_context.packetWakeup.notify();
+    }
+}
+
+}
--- /dev/null
+++ b/apps/rattanpickd/verificationduty.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "streamcontext.h"
+
+namespace Rattanpick
+{
+
+/// Asks the directory source for its revision while the directory duty waits in a watch.
+class VerificationDuty
+{
+public:
+    /// Builds the duty; the context must outlive it.
+    explicit VerificationDuty(StreamContext &context);
+
+    /// Works until the context ends.
+    void run();
+
+private:
+    StreamContext &m_context;
+};
+
+}
--- a/packages/configservice/httpclient.cpp
+++ b/packages/configservice/httpclient.cpp
@@ -56,6 +56,8 @@
     beast::error_code error;
     Endpoint connected;
     std::atomic<bool> isCancelled = false;
+    /// Rises with each call.
+    std::atomic<quint64> callNumber = 0;
     QString lastError;
 };
 
@@ -141,6 +143,7 @@
 
 std::optional<HttpAnswer> HttpClient::get(const Endpoint &service, const QByteArray &path, TimePoint deadline)
 {
+    ++m_d->callNumber;
     const bool isReused = m_d->connected == service;
     if (!m_d->connect(service, deadline)) {
         return std::nullopt;
@@ -158,7 +161,13 @@
 
 void HttpClient::interrupt()
 {
-    asio::post(m_d->context, [this] { m_d->stream.cancel(); });
+    const quint64 call = m_d->callNumber;
+    asio::post(m_d->context, [this, call] {
+        // The handler may run only in a later call, which is not meant.
+        if (m_d->callNumber == call) {
+            m_d->stream.cancel();
+        }
+    });
 }
 
 void HttpClient::cancel()
--- a/packages/configservice/httpclient.h
+++ b/packages/configservice/httpclient.h
@@ -40,7 +40,7 @@
     /// The answer to GET @p path (query included) of the service; nothing on failure or at the deadline.
     std::optional<HttpAnswer> get(const Endpoint &service, const QByteArray &path, TimePoint deadline);
 
-    /// Makes the current call fail, or the next one if none is under way; may be called from any thread.
+    /// Makes the current call fail, if one is under way; may be called from any thread.
     void interrupt();
 
     /// Makes the current and all later calls fail at once; may be called from any thread.
--- a/packages/core/event.cpp
+++ b/packages/core/event.cpp
@@ -47,6 +47,8 @@
     NamedEvent{EventNumber::ReaderElected, "ReaderElected", EventLevel::Info},
     NamedEvent{EventNumber::ReaderDismissed, "ReaderDismissed", EventLevel::Info},
     NamedEvent{EventNumber::DirectoryEntryRefused, "DirectoryEntryRefused", EventLevel::Warning},
+    NamedEvent{EventNumber::DirectoryRead, "DirectoryRead", EventLevel::Info},
+    NamedEvent{EventNumber::WatchDeaf, "WatchDeaf", EventLevel::Warning},
     NamedEvent{EventNumber::FlowOpened, "FlowOpened", EventLevel::Debug},
     NamedEvent{EventNumber::FlowRefused, "FlowRefused", EventLevel::Warning},
     NamedEvent{EventNumber::FlowClosed, "FlowClosed", EventLevel::Debug},
--- a/packages/core/eventnumber.h
+++ b/packages/core/eventnumber.h
@@ -23,6 +23,8 @@
     ReaderElected = 206,
     ReaderDismissed = 207,
     DirectoryEntryRefused = 208,
+    DirectoryRead = 209,
+    WatchDeaf = 210,
     FlowOpened = 301,
     FlowRefused = 302,
     FlowClosed = 303,
--- a/packages/stream/directorysource.h
+++ b/packages/stream/directorysource.h
@@ -5,6 +5,7 @@
 
 #include <QString>
 
+#include <optional>
 #include <vector>
 
 namespace Rattanpick
@@ -45,7 +46,10 @@
     /// What has changed after the revision; waits until @p waitDeadline for a change, and until @p deadline for an answer.
     virtual SourceAnswer watch(quint64 afterRevision, TimePoint waitDeadline, TimePoint deadline) = 0;
 
-    /// Makes the current call fail; later ones work. May be called from any thread.
+    /// The revision of the source; nothing on failure. May be called while another thread reads or watches.
+    virtual std::optional<quint64> currentRevision(TimePoint deadline) = 0;
+
+    /// Makes the current reading or watch fail; later ones work. May be called from any thread.
     virtual void interrupt() = 0;
 
     /// Makes the current and all later calls fail at once; may be called from any thread.
--- a/packages/stream/directorywatchersettings.h
+++ b/packages/stream/directorywatchersettings.h
@@ -17,7 +17,7 @@
     /// The longest wait for a complete reading.
     Duration readTimeout = 3s;
     /// Time between the end of a watch that brought changes and the next one; gathers changes that come together.
-    Duration gatherTime = 150ms;
+    Duration gatherTime = 400ms;
     /// Random wait after the first failure; doubles with each further one.
     Duration minimumBackoff = 100ms;
     /// The longest wait between two calls to a source that fails.
--- a/packages/stream/streammessage.h
+++ b/packages/stream/streammessage.h
@@ -43,6 +43,10 @@
     quint8 hopCount = 0;
     /// The version of the routes that the sender has in force; 0 before the first.
     quint64 configurationVersion = 0;
+    /// The revision of the directory that the sender has reached; 0 before the first reading.
+    quint64 directoryRevision = 0;
+    /// How long ago that revision was known to be the latest, in milliseconds; 65,535 stands for longer.
+    quint16 verifiedMilliseconds = 0;
     /// The process that sent the message.
     Endpoint sender;
     /// The balancer that took the segment from its caller; it learns where the flow is.
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -61,8 +61,8 @@
     datagram.reserve(expectedSize);
     QDataStream stream(&datagram, QIODevice::WriteOnly);
     stream.setVersion(wireVersion);
-    stream << magic << message.kind << message.hopCount << message.configurationVersion << message.sender << message.balancer << message.service
-           << message.target << message.incarnation;
+    stream << magic << message.kind << message.hopCount << message.configurationVersion << message.directoryRevision << message.verifiedMilliseconds
+           << message.sender << message.balancer << message.service << message.target << message.incarnation;
     if (namesFlow(message.kind)) {
         stream << message.flow;
     }
@@ -86,8 +86,8 @@
     stream.setVersion(wireVersion);
     quint8 mark = 0;
     StreamMessage message;
-    stream >> mark >> message.kind >> message.hopCount >> message.configurationVersion >> message.sender >> message.balancer >> message.service
-        >> message.target >> message.incarnation;
+    stream >> mark >> message.kind >> message.hopCount >> message.configurationVersion >> message.directoryRevision >> message.verifiedMilliseconds
+        >> message.sender >> message.balancer >> message.service >> message.target >> message.incarnation;
     requireWire(stream, mark == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::Ping);
     if (namesFlow(message.kind)) {
         stream >> message.flow;
