End processes at once after a planned stop

Cause: on the platform, stopped processes did not exit and were killed after the grace time of 6 s, so a rolling restart had two of three balancers of a data centre down at a time; the network then uses all of them, the dead ones too. Prints showed that all own threads had ended: the static destructor of log4cplus waited for its worker threads.

Ruled out: the HTTP servers (they now wake by an event descriptor, without effect on the hang), the directory and verification threads.

Change: the process ends by quick_exit() once its duties have ended.

--- a/apps/rattanpickd/streamdaemon.cpp
+++ b/apps/rattanpickd/streamdaemon.cpp
@@ -117,7 +117,10 @@
     context.verificationWakeup.notify();
     directoryThread.join();
     verificationThread.join();
-    return 0;
+    ready.stop();
+    metrics.stop();
+    // On the platform, the static destructor of log4cplus waited for its worker threads until the process was killed.
+    std::quick_exit(0);
 }
 
 }
--- a/packages/operators/httpserver.cpp
+++ b/packages/operators/httpserver.cpp
@@ -63,7 +63,7 @@
     address.sin_addr.s_addr = htonl(m_endpoint.address);
     address.sin_port = htons(m_endpoint.port);
     errno = 0;
-    m_daemon = MHD_start_daemon(MHD_USE_AUTO | MHD_USE_INTERNAL_POLLING_THREAD,
+    m_daemon = MHD_start_daemon(MHD_USE_AUTO | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC,
                                 m_endpoint.port,
                                 nullptr,
                                 nullptr,
