Load no unused libraries in the stream roles; accept openings for an earlier target

Openings for the earlier target of a machine were refused as 'wrong target' although the new one serves the same service, until the caller's attempt ended.

Ruled out: prelinking and static Qt (not packaged).

An agent accepts an opening for its service whatever target it names, and knows all flows of a target that was replaced within its life.

--- a/apps/rattanpickd/agentduty.cpp
+++ b/apps/rattanpickd/messages/agentduty.cpp
@@ -1,4 +1,4 @@
-#include "agentduty.h"
+#include "rattanpickd/messages/agentduty.h"
 
 #include <utility>
 
--- a/apps/rattanpickd/balancerduty.cpp
+++ b/apps/rattanpickd/messages/balancerduty.cpp
@@ -1,4 +1,4 @@
-#include "balancerduty.h"
+#include "rattanpickd/messages/balancerduty.h"
 
 #include "balancer/homerouting.h"
 
--- a/apps/rattanpickd/balancerduty.h
+++ b/apps/rattanpickd/messages/balancerduty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisionduty.h"
+#include "rattanpickd/messages/decisionduty.h"
 
 #include "balancer/router.h"
 
--- a/apps/rattanpickd/callworker.h
+++ b/apps/rattanpickd/messages/callworker.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "wakeup.h"
+#include "rattanpickd/wakeup.h"
 
 #include "core/boundedring.h"
 
--- a/apps/rattanpickd/configurationduty.cpp
+++ b/apps/rattanpickd/messages/configurationduty.cpp
@@ -1,4 +1,4 @@
-#include "configurationduty.h"
+#include "rattanpickd/messages/configurationduty.h"
 
 #include "operators/adminclient.h"
 
--- a/apps/rattanpickd/configurationduty.h
+++ b/apps/rattanpickd/messages/configurationduty.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "callworker.h"
-#include "daemoncontext.h"
-#include "platformclienthandle.h"
+#include "rattanpickd/messages/callworker.h"
+#include "rattanpickd/messages/daemoncontext.h"
+#include "rattanpickd/messages/platformclienthandle.h"
 
 #include "configservice/platformclient.h"
 #include "spread/spreadnode.h"
--- a/apps/rattanpickd/daemon.cpp
+++ b/apps/rattanpickd/messages/daemon.cpp
@@ -1,11 +1,11 @@
-#include "daemon.h"
-
-#include "agentduty.h"
-#include "balancerduty.h"
-#include "configurationduty.h"
-#include "processstatus.h"
-#include "receiveduty.h"
-#include "sendduty.h"
+#include "rattanpickd/messages/daemon.h"
+
+#include "rattanpickd/messages/agentduty.h"
+#include "rattanpickd/messages/balancerduty.h"
+#include "rattanpickd/messages/configurationduty.h"
+#include "rattanpickd/messages/processstatus.h"
+#include "rattanpickd/messages/receiveduty.h"
+#include "rattanpickd/messages/sendduty.h"
 
 #include "operators/adminserver.h"
 
--- a/apps/rattanpickd/daemoncontext.h
+++ b/apps/rattanpickd/messages/daemoncontext.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "dropcounters.h"
-#include "dutymessages.h"
-#include "wakeup.h"
+#include "rattanpickd/messages/dropcounters.h"
+#include "rattanpickd/messages/dutymessages.h"
+#include "rattanpickd/wakeup.h"
 
 #include "core/boundedring.h"
 #include "core/eventlog.h"
--- a/apps/rattanpickd/decisionduty.cpp
+++ b/apps/rattanpickd/messages/decisionduty.cpp
@@ -1,4 +1,4 @@
-#include "decisionduty.h"
+#include "rattanpickd/messages/decisionduty.h"
 
 namespace Rattanpick
 {
--- a/apps/rattanpickd/dropcounters.cpp
+++ b/apps/rattanpickd/messages/dropcounters.cpp
@@ -1,4 +1,4 @@
-#include "dropcounters.h"
+#include "rattanpickd/messages/dropcounters.h"
 
 namespace Rattanpick
 {
--- a/apps/rattanpickd/processstatus.cpp
+++ b/apps/rattanpickd/messages/processstatus.cpp
@@ -1,4 +1,4 @@
-#include "processstatus.h"
+#include "rattanpickd/messages/processstatus.h"
 
 #include <QString>
 
--- a/apps/rattanpickd/receiveduty.cpp
+++ b/apps/rattanpickd/messages/receiveduty.cpp
@@ -1,4 +1,4 @@
-#include "receiveduty.h"
+#include "rattanpickd/messages/receiveduty.h"
 
 #include "agent/targetmessagecodec.h"
 
--- a/apps/rattanpickd/receiveduty.h
+++ b/apps/rattanpickd/messages/receiveduty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "daemoncontext.h"
+#include "rattanpickd/messages/daemoncontext.h"
 
 #include "fabric/peermessagecodec.h"
 
--- a/apps/rattanpickd/sendduty.cpp
+++ b/apps/rattanpickd/messages/sendduty.cpp
@@ -1,4 +1,4 @@
-#include "sendduty.h"
+#include "rattanpickd/messages/sendduty.h"
 
 #include "agent/targetmessagecodec.h"
 #include "caller/callermessagecodec.h"
--- a/apps/rattanpickd/directoryduty.cpp
+++ b/apps/rattanpickd/stream/directoryduty.cpp
@@ -1,4 +1,4 @@
-#include "directoryduty.h"
+#include "rattanpickd/stream/directoryduty.h"
 
 #include <QRandomGenerator>
 
--- a/apps/rattanpickd/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -1,9 +1,9 @@
-#include "streamdaemon.h"
+#include "rattanpickd/stream/streamdaemon.h"
 
-#include "directoryduty.h"
-#include "streamcontext.h"
-#include "streamduty.h"
-#include "verificationduty.h"
+#include "rattanpickd/stream/directoryduty.h"
+#include "rattanpickd/stream/streamcontext.h"
+#include "rattanpickd/stream/streamduty.h"
+#include "rattanpickd/stream/verificationduty.h"
 
 #include "core/logging.h"
 #include "operators/httpserver.h"
@@ -69,12 +69,15 @@
 
 }
 
-int runStreamDaemon(const QString &settingsFile, DaemonRole role)
+int runStreamDaemon(const StreamDaemonOptions &options)
 {
-    const std::optional<StreamProcessSettings> settings = readSettings(settingsFile, role);
+    const std::optional<StreamProcessSettings> settings = readSettings(options.settingsFile, options.role);
     if (!settings) {
         return usageError;
     }
+    if (options.isCheckOnly) {
+        return 0;
+    }
     setUpLogging(settings->logLevel);
     const SegmentCodec format;
     StoreSource source(settings->directory);
@@ -101,7 +104,7 @@
             return 1;
         }
     }
-    context.log.record(EventNumber::ProcessStarted, role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent"));
+    context.log.record(EventNumber::ProcessStarted, options.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent"));
     DirectoryDuty directory(context);
     std::thread directoryThread([&directory] { directory.run(); });
 
--- a/apps/rattanpickd/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -1,4 +1,4 @@
-#include "streamduty.h"
+#include "rattanpickd/stream/streamduty.h"
 
 #include "stream/streamagent.h"
 #include "stream/streambalancer.h"
--- a/apps/rattanpickd/streamduty.h
+++ b/apps/rattanpickd/stream/streamduty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "streamcontext.h"
+#include "rattanpickd/stream/streamcontext.h"
 
 #include "fabric/udpsocket.h"
 #include "stream/freshnessguard.h"
--- a/apps/rattanpickd/verificationduty.cpp
+++ b/apps/rattanpickd/stream/verificationduty.cpp
@@ -1,4 +1,4 @@
-#include "verificationduty.h"
+#include "rattanpickd/stream/verificationduty.h"
 
 namespace Rattanpick
 {
--- a/packages/operators/httpserver.cpp
+++ b/packages/operators/httpserver.cpp
@@ -1,10 +1,17 @@
 #include "operators/httpserver.h"
 
-#include <microhttpd.h>
-#include <netinet/in.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
 
-#include <cerrno>
-#include <cstring>
+#include <thread>
 
 namespace Rattanpick
 {
@@ -12,37 +19,100 @@
 namespace
 {
 
-constexpr unsigned maximumConnections = 64;
-constexpr unsigned connectionTimeoutSeconds = 10;
-/// The library's default of 32 KB for each connection would be the largest part of a small process.
-constexpr std::size_t connectionMemoryBytes = 4096;
-
-MHD_Result onRequest(void *server,
-                     MHD_Connection *connection,
-                     const char *path,
-                     const char *method,
-                     const char * /*version*/,
-                     const char * /*data*/,
-                     std::size_t *dataSize,
-                     void ** /*context*/)
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+/// A client that neither asks nor closes for this long is forgotten.
+constexpr std::chrono::seconds connectionTimeout{10};
+/// Requests have no body and few headers.
+constexpr quint32 maximumHeaderBytes = 4096;
+
+}
+
+class HttpServer::Private
 {
-    // A body means nothing to a GET request.
-    *dataSize = 0;
-    HttpResponse answer = static_cast<HttpServer *>(server)->respond(method, path);
-    MHD_Response *response = MHD_create_response_from_buffer(static_cast<std::size_t>(answer.body.size()), answer.body.data(), MHD_RESPMEM_MUST_COPY);
-    if (response == nullptr) {
-        return MHD_NO;
+public:
+    /// One connection; it lives as long as a read or write of it is under way.
+    class Connection : public std::enable_shared_from_this<Connection>
+    {
+    public:
+        Connection(tcp::socket socket, const std::map<std::string, Handler> &handlers)
+            : m_stream(std::move(socket))
+            , m_handlers(handlers)
+        {
+        }
+
+        void read()
+        {
+            m_parser.emplace();
+            m_parser->header_limit(maximumHeaderBytes);
+            m_stream.expires_after(connectionTimeout);
+            http::async_read(m_stream, m_buffer, *m_parser, [self = shared_from_this()](beast::error_code error, std::size_t) {
+                if (!error) {
+                    self->answer();
+                }
+            });
+        }
+
+    private:
+        void answer()
+        {
+            const auto &request = m_parser->get();
+            const HttpResponse made = respond(request);
+            m_response = {http::status(made.status), request.version()};
+            m_response.set(http::field::content_type, made.contentType.toStdString());
+            m_response.body() = made.body.toStdString();
+            m_response.keep_alive(request.keep_alive());
+            m_response.prepare_payload();
+            http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code error, std::size_t) {
+                if (!error && self->m_response.keep_alive()) {
+                    self->read();
+                }
+            });
+        }
+
+        HttpResponse respond(const http::request<http::empty_body> &request) const
+        {
+            if (request.method() != http::verb::get) {
+                return {static_cast<unsigned>(http::status::method_not_allowed), "text/plain; charset=utf-8", "only GET is served here\n"};
+            }
+            const beast::string_view target = request.target();
+            const auto found = m_handlers.find(std::string(target.substr(0, target.find('?'))));
+            return found != m_handlers.end() ? found->second()
+                                             : HttpResponse{static_cast<unsigned>(http::status::not_found), "text/plain; charset=utf-8", "no such page\n"};
+        }
+
+        beast::tcp_stream m_stream;
+        const std::map<std::string, Handler> &m_handlers;
+        beast::flat_buffer m_buffer;
+        std::optional<http::request_parser<http::empty_body>> m_parser;
+        http::response<http::string_body> m_response;
+    };
+
+    void accept()
+    {
+        acceptor.async_accept([this](beast::error_code error, tcp::socket socket) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                std::make_shared<Connection>(std::move(socket), handlers)->read();
+            }
+            accept();
+        });
     }
-    MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, answer.contentType.constData());
-    const MHD_Result queued = MHD_queue_response(connection, answer.status, response);
-    MHD_destroy_response(response);
-    return queued;
-}
 
-}
+    std::map<std::string, Handler> handlers;
+    asio::io_context context{1};
+    tcp::acceptor acceptor{context};
+    std::thread thread;
+};
 
 HttpServer::HttpServer(const Endpoint &listen)
     : m_endpoint(listen)
+    , m_d(std::make_unique<Private>())
 {
 }
 
@@ -53,56 +123,40 @@
 
 void HttpServer::handle(const std::string &path, Handler handler)
 {
-    m_handlers[path] = std::move(handler);
+    m_d->handlers[path] = std::move(handler);
 }
 
 bool HttpServer::start()
 {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(m_endpoint.address);
-    address.sin_port = htons(m_endpoint.port);
-    errno = 0;
-    m_daemon = MHD_start_daemon(MHD_USE_AUTO | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC,
-                                m_endpoint.port,
-                                nullptr,
-                                nullptr,
-                                &onRequest,
-                                this,
-                                MHD_OPTION_SOCK_ADDR,
-                                &address,
-                                MHD_OPTION_CONNECTION_LIMIT,
-                                maximumConnections,
-                                MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                                connectionMemoryBytes,
-                                MHD_OPTION_CONNECTION_TIMEOUT,
-                                connectionTimeoutSeconds,
-                                MHD_OPTION_END);
-    if (m_daemon == nullptr) {
-        m_lastError = QStringLiteral("cannot listen at %1: %2").arg(m_endpoint.toString(), QString::fromLocal8Bit(std::strerror(errno)));
-        return false;
+    const tcp::endpoint address(asio::ip::address_v4(m_endpoint.address), m_endpoint.port);
+    beast::error_code error;
+    m_d->acceptor.open(tcp::v4(), error);
+    if (!error) {
+        m_d->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        m_d->acceptor.bind(address, error);
     }
-    if (const MHD_DaemonInfo *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT); info != nullptr) {
-        m_endpoint.port = info->port;
+    if (!error) {
+        m_d->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        m_lastError = QStringLiteral("cannot listen at %1: %2").arg(m_endpoint.toString(), QString::fromStdString(error.message()));
+        return false;
     }
+    m_endpoint.port = m_d->acceptor.local_endpoint().port();
+    m_d->accept();
+    m_d->thread = std::thread([this] { m_d->context.run(); });
     return true;
 }
 
 void HttpServer::stop()
 {
-    if (m_daemon != nullptr) {
-        MHD_stop_daemon(m_daemon);
-        m_daemon = nullptr;
-    }
-}
-
-HttpResponse HttpServer::respond(const char *method, const char *path) const
-{
-    if (std::strcmp(method, MHD_HTTP_METHOD_GET) != 0) {
-        return {MHD_HTTP_METHOD_NOT_ALLOWED, "text/plain; charset=utf-8", "only GET is served here\n"};
+    if (!m_d->thread.joinable()) {
+        return;
     }
-    const auto found = m_handlers.find(path);
-    return found != m_handlers.end() ? found->second() : HttpResponse{MHD_HTTP_NOT_FOUND, "text/plain; charset=utf-8", "no such page\n"};
+    m_d->context.stop();
+    m_d->thread.join();
+    beast::error_code ignored;
+    m_d->acceptor.close(ignored);
 }
 
 }
--- a/packages/operators/httpserver.h
+++ b/packages/operators/httpserver.h
@@ -6,11 +6,9 @@
 #include <QString>
 
 #include <functional>
-#include <map>
+#include <memory>
 #include <string>
 
-struct MHD_Daemon;
-
 namespace Rattanpick
 {
 
@@ -59,14 +57,11 @@
         return m_lastError;
     }
 
-    /// The answer to a request; for the library's callback.
-    HttpResponse respond(const char *method, const char *path) const;
-
 private:
     Endpoint m_endpoint;
-    std::map<std::string, Handler> m_handlers;
-    MHD_Daemon *m_daemon = nullptr;
     QString m_lastError;
+    class Private;
+    std::unique_ptr<Private> m_d;
 };
 
 }
--- a/packages/stream/openingfence.cpp
+++ b/packages/stream/openingfence.cpp
@@ -20,7 +20,6 @@
     static constexpr std::array<const char *, static_cast<std::size_t>(OpeningRefusal::Count)> names{
         "none",
         "wrong service",
-        "wrong target",
         "no route",
         "draining",
         "data centre out",
@@ -39,14 +38,12 @@
 
 OpeningRefusal OpeningFence::admit(TimePoint now, const StreamMessage &message, const Endpoint &route)
 {
-    // 1. An address that was used before: the packet is for what was here then.
+    // 1. An address that was used before: the packet is for what was here then. Another target of the same service may
+    //    take the place of the one that the balancer chose.
     if (message.service != m_settings.service) {
         return OpeningRefusal::WrongService;
     }
     const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
-    if (own != nullptr && (message.target != own->target.id || message.incarnation != own->target.incarnation)) {
-        return OpeningRefusal::WrongTarget;
-    }
 
     // 2. Routes: a balancer with later ones knows better, one with earlier ones does not.
     const RouteTablePointer &routes = m_directory.routes();
--- a/packages/stream/openingfence.h
+++ b/packages/stream/openingfence.h
@@ -14,8 +14,6 @@
     None,
     /// The opening is for another service; the address was used by it before.
     WrongService,
-    /// The opening is for another target, or for an earlier life of this one.
-    WrongTarget,
     /// The routes in force do not let the address use this service.
     NoRoute,
     Draining,
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -46,6 +46,10 @@
         m_fence.release();
     }
     if (const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target)) {
+        if (m_targetIncarnation != Incarnation{} && m_targetIncarnation != own->target.incarnation) {
+            // The target has started within the life of this process, which has seen every opening of it.
+            m_adoptionDeadline = now;
+        }
         m_targetIncarnation = own->target.incarnation;
         m_meter.setSlotCount(std::max<quint32>(1, own->target.slotCount));
     }
--- a/tests/daemon/dutiestest.cpp
+++ b/tests/daemon/dutiestest.cpp
@@ -1,6 +1,6 @@
-#include <rattanpickd/callworker.h>
-#include <rattanpickd/receiveduty.h>
-#include <rattanpickd/sendduty.h>
+#include <rattanpickd/messages/callworker.h>
+#include <rattanpickd/messages/receiveduty.h>
+#include <rattanpickd/messages/sendduty.h>
 
 #include <gtest/gtest.h>
 
--- a/tests/daemon/processstatustest.cpp
+++ b/tests/daemon/processstatustest.cpp
@@ -1,4 +1,4 @@
-#include <apps/rattanpickd/processstatus.h>
+#include <rattanpickd/messages/processstatus.h>
 
 #include <gtest/gtest.h>
 
