Keep one target for each address, whatever the order of reading

FlowSearchFailed, new here, showed searches that waited for targets whose address had a later target: a complete reading lists entries by name, and an old entry read after the new one of its address stayed present; the agent answered for another name than it was asked about.

Ruled out: targets that are not up yet (a connection to their port succeeds from the first try on).

Change: the entry with the highest revision is the only present one of an address; a denial names the target that was asked. Changes of targets and failed searches are logged.

--- a/apps/rattanpickd/stream/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -140,12 +140,7 @@
         m_freshness.onRevision(now, (*batch)->revision);
         for (const DirectoryChange &change : (*batch)->changes) {
             m_decisions->onDirectoryChange(now, change, m_actions);
-            const auto *published = std::get_if<RoutesPublished>(&change);
-            if (published == nullptr) {
-                continue;
-            }
-            const RouteTable &routes = *published->routes;
-            m_context.log.record(EventNumber::ConfigurationAccepted, QStringLiteral("version %1, %2 routes").arg(routes.version()).arg(routes.routeCount()));
+            record((*batch)->revision, change);
         }
     }
 }
@@ -176,6 +171,24 @@
     m_context.source.interrupt();
 }
 
+void StreamDuty::record(quint64 revision, const DirectoryChange &change)
+{
+    const QString at = QStringLiteral(", revision %1").arg(revision);
+    if (const auto *published = std::get_if<RoutesPublished>(&change)) {
+        const RouteTable &routes = *published->routes;
+        m_context.log.record(EventNumber::ConfigurationAccepted, QStringLiteral("version %1, %2 routes").arg(routes.version()).arg(routes.routeCount()) + at);
+    } else if (const auto *listed = std::get_if<TargetListed>(&change)) {
+        const StreamTarget &target = listed->target;
+        const QString state = target.isDraining ? QStringLiteral("draining") : QStringLiteral("ready");
+        m_context.log.record(EventNumber::TargetListed,
+                             QStringLiteral("%1 at %2 in %3, %4").arg(target.name, target.address.toString(), target.dataCentre, state) + at);
+    } else if (const auto *unlisted = std::get_if<TargetUnlisted>(&change)) {
+        m_context.log.record(EventNumber::TargetUnlisted, unlisted->name + at);
+    } else if (const auto *switched = std::get_if<DataCentreSwitched>(&change)) {
+        m_context.log.record(switched->isOut ? EventNumber::DataCentreOut : EventNumber::DataCentreIn, switched->name + at);
+    }
+}
+
 void StreamDuty::receiveMessages(TimePoint now)
 {
     for (const ReceivedDatagram &datagram : m_messages.receive()) {
--- a/apps/rattanpickd/stream/streamduty.h
+++ b/apps/rattanpickd/stream/streamduty.h
@@ -36,6 +36,7 @@
 private:
     void step(bool hasMessages, bool hasPackets);
     void takeChanges(TimePoint now);
+    void record(quint64 revision, const DirectoryChange &change);
     void keepFresh(TimePoint now);
     void readAgain();
     void receiveMessages(TimePoint now);
--- a/packages/stream/flowsearch.cpp
+++ b/packages/stream/flowsearch.cpp
@@ -104,11 +104,23 @@
     m_searches.erase(flow);
 }
 
-void FlowSearch::onTick(TimePoint now)
+void FlowSearch::onTick(TimePoint now, StreamActions &actions)
 {
     while (!m_deadlines.empty() && now >= m_deadlines.front().first) {
-        m_searches.erase(m_deadlines.front().second);
+        const auto found = m_searches.find(m_deadlines.front().second);
         m_deadlines.pop_front();
+        if (found == m_searches.end()) {
+            continue;
+        }
+        QStringList silent;
+        for (const TargetId target : found->second.outstanding) {
+            const TargetDirectory::Entry *entry = m_directory.find(target);
+            silent.append(entry != nullptr ? entry->target.name : QStringLiteral("?"));
+        }
+        const QString reason =
+            silent.isEmpty() ? QStringLiteral("the directory is not settled") : QStringLiteral("no answer from ") + silent.join(QLatin1Char(' '));
+        actions.emplace_back(RecordStreamEvent{EventNumber::FlowSearchFailed, found->first, reason});
+        m_searches.erase(found);
     }
 }
 
--- a/packages/stream/flowsearch.h
+++ b/packages/stream/flowsearch.h
@@ -47,7 +47,7 @@
     void end(const FlowKey &flow);
 
     /// Gives up searches that are due: an agent that does not answer may stand beside the target of the flow.
-    void onTick(TimePoint now);
+    void onTick(TimePoint now, StreamActions &actions);
 
     /// Whether a search for the flow is under way.
     bool isSearching(const FlowKey &flow) const
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -114,7 +114,7 @@
 void StreamAgent::onTick(TimePoint now, StreamActions &actions)
 {
     m_directory.onTick(now);
-    m_search.onTick(now);
+    m_search.onTick(now, actions);
     while (!m_expiries.empty() && now >= m_expiries.front().first) {
         const FlowKey key = m_expiries.front().second;
         m_expiries.pop_front();
@@ -255,7 +255,7 @@
         return;
     }
     if (flow != nullptr || knowsAllFlows(now)) {
-        actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::NotHeld, key)});
+        denyProbe(now, key, message, actions);
         return;
     }
     giveToTarget(key, message, actions);
@@ -299,7 +299,7 @@
         denyFlow(now, key, message, actions);
         break;
     case StreamMessageKind::Probe:
-        actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::NotHeld, key)});
+        denyProbe(now, key, message, actions);
         break;
     default:
         if (const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
@@ -415,6 +415,15 @@
     search(now, key, message, actions);
 }
 
+void StreamAgent::denyProbe(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions) const
+{
+    StreamMessage denial = answer(now, StreamMessageKind::NotHeld, key);
+    // The searching agent may know this target under an earlier name.
+    denial.target = message.target;
+    denial.incarnation = message.incarnation;
+    actions.emplace_back(SendStreamMessage{message.sender, std::move(denial)});
+}
+
 void StreamAgent::search(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions)
 {
     const std::optional<Segment> segment = m_format.decode(message.packet);
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -78,6 +78,7 @@
     void deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions);
     void giveToTarget(const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     void denyFlow(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
+    void denyProbe(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions) const;
     void search(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     void resetAfterSearch(TimePoint now, const FlowKey &key, const QByteArray &packet, StreamActions &actions);
     void noteCallerSegment(TimePoint now, HeldFlow &flow, const StreamMessage &message, const Segment &segment);
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -53,12 +53,12 @@
     entry.listing = Listing::Listed;
     entry.listingDeadline = TimePoint::max();
     ++m_generation;
-    // An address has one target: a later entry for it shows that the earlier target is gone.
+    // An address has one target: the latest entry for it shows that earlier targets are gone, in whatever order they are read.
     for (auto &[id, other] : m_entries) {
-        if (id == change.target.id || other.target.address != change.target.address || !other.isPresent() || other.revision > change.revision) {
+        if (id == change.target.id || other.target.address != change.target.address || !other.isPresent()) {
             continue;
         }
-        depart(now, other);
+        depart(now, other.revision > change.revision ? entry : other);
     }
 }
 
