End a stopping balancer once the network has withdrawn it

Ruled out: losses in the search for flows that moved (no failed search in the log).

Change: the second refusal of readiness ends the stop after 100 ms; the deadline of the stop wakes the duty.

--- a/apps/rattanpickd/stream/streamcontext.h
+++ b/apps/rattanpickd/stream/streamcontext.h
@@ -65,6 +65,8 @@
 
     /// Whether callers may be sent here; the packet duty sets it.
     std::atomic<bool> isReady = false;
+    /// How often the network was told that callers may not be sent here, since the planned stop began.
+    std::atomic<int> refusedReadiness = 0;
     /// Set by the signal that orders a planned stop.
     std::atomic<bool> isStopping = false;
     /// The directory duty is to read everything again.
--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -9,6 +9,7 @@
 #include "operators/httpserver.h"
 #include "stream/streamprocesssettingsreader.h"
 
+#include <platform/readiness.h>
 #include <platform/segmentcodec.h>
 #include <platform/storesource.h>
 
@@ -92,7 +93,11 @@
     handleStopSignals(context);
 
     HttpServer ready(settings->ready);
-    ready.handle("/rattanpick/readiness", [&context] {
+    ready.handle(readinessPath, [&context] {
+        if (context.isStopping) {
+            ++context.refusedReadiness;
+            context.packetWakeup.notify();
+        }
         return context.isReady ? HttpResponse{okStatus, "text/plain; charset=utf-8", "ready\n"}
                                : HttpResponse{unavailableStatus, "text/plain; charset=utf-8", "not ready\n"};
     });
--- a/apps/rattanpickd/stream/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -22,6 +22,8 @@
 constexpr Duration tickInterval = 500ms;
 /// A longer gap between two steps means that the process was paused.
 constexpr Duration pauseLimit = 1500ms;
+/// The network stops sending callers to a process after this many refusals in a row.
+constexpr int believedRefusals = 2;
 /// Batches thrown away at most after a pause; bounds the work if packets keep coming.
 constexpr int discardedBatches = 256;
 /// Datagrams taken with one system call; more would cost memory and bring nothing at some hundred packets a second.
@@ -119,6 +121,9 @@
         m_decisions->beginStop(now, m_actions);
         m_context.isReady = false;
     }
+    if (m_isStopNoticed && m_context.refusedReadiness >= believedRefusals) {
+        m_decisions->onWithdrawn(now);
+    }
     if (hasMessages) {
         receiveMessages(now);
     }
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -170,6 +170,11 @@
     }
 }
 
+void StreamAgent::onWithdrawn(TimePoint /*now*/)
+{
+    // Balancers learn of the stop by load reports.
+}
+
 bool StreamAgent::isStopped(TimePoint now) const
 {
     return m_stopDeadline && now >= m_stopMinimumDeadline && (m_meter.inProgress() == 0 || now >= *m_stopDeadline);
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -35,6 +35,7 @@
     TimePoint nextDeadline() const override;
     void onPause(TimePoint now) override;
     void beginStop(TimePoint now, StreamActions &actions) override;
+    void onWithdrawn(TimePoint now) override;
     bool isStopped(TimePoint now) const override;
     bool isReady() const override;
 
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -126,7 +126,7 @@
 
 TimePoint StreamBalancer::nextDeadline() const
 {
-    TimePoint next = std::min(m_directory.nextDeadline(), m_pingDeadline);
+    TimePoint next = std::min({m_directory.nextDeadline(), m_pingDeadline, m_stopDeadline.value_or(TimePoint::max())});
     if (!m_offers.empty()) {
         next = std::min(next, m_offers.front().first);
     }
@@ -143,6 +143,13 @@
     m_stopDeadline = m_stopDeadline.value_or(now + m_settings.stopLinger);
 }
 
+void StreamBalancer::onWithdrawn(TimePoint now)
+{
+    if (m_stopDeadline) {
+        m_stopDeadline = std::min(*m_stopDeadline, now + m_settings.withdrawnLinger);
+    }
+}
+
 bool StreamBalancer::isStopped(TimePoint now) const
 {
     return m_stopDeadline && now >= *m_stopDeadline;
--- a/packages/stream/streambalancersettings.h
+++ b/packages/stream/streambalancersettings.h
@@ -25,8 +25,12 @@
     std::size_t candidateLimit = 6;
     /// How long the location of a flow is kept after its caller has sent its last data.
     Duration closingMemory = 3s;
-    /// How long a stopping balancer goes on forwarding: the network asks twice a second and believes the second refusal.
-    Duration stopLinger = 1800ms;
+    /// How long a stopping balancer goes on forwarding if the network does not ask whether it is ready; twice the time
+    /// in which the network asks twice.
+    Duration stopLinger = 2s;
+    /// How long it goes on once the network sends no more callers, for packets that are on their way. Short, since the
+    /// network falls back to all balancers of a data centre while most of them are away.
+    Duration withdrawnLinger = 100ms;
     /// The agent of an unlisted target that was heard from this lately still holds its flows.
     Duration departedHearing = 1500ms;
 
--- a/packages/stream/streamdecisions.h
+++ b/packages/stream/streamdecisions.h
@@ -35,6 +35,9 @@
     /// A planned stop begins.
     virtual void beginStop(TimePoint now, StreamActions &actions) = 0;
 
+    /// The network has been told often enough that this process takes no callers: it sends no more of them.
+    virtual void onWithdrawn(TimePoint now) = 0;
+
     /// Whether the planned stop may end.
     virtual bool isStopped(TimePoint now) const = 0;
 
