Tell searchers and balancers when a target shows that it holds a flow

An agent that knows nothing gave the packet to its target and kept no record of it, so that the target's answer told nobody; each later packet was searched for again.

Ruled out: lost probes (each search named another single target).

Change: the agent assumes the flow until its target answers or bounces, and then tells both.

--- a/packages/stream/heldflow.h
+++ b/packages/stream/heldflow.h
@@ -27,6 +27,8 @@
     State state = State::Offered;
     /// The balancer that sent the latest segment of the caller.
     Endpoint balancer;
+    /// The agent that searches for the flow and is told once the target has shown that it holds it; null if none.
+    Endpoint searcher;
     quint32 openingSequence = 0;
     /// The sequence number of the target's answer to the opening.
     quint32 targetSequence = 0;
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -241,11 +241,7 @@
         denyFlow(now, key, message, actions);
         return;
     }
-    HeldFlow &assumed = m_flows[key];
-    assumed.state = HeldFlow::State::Assumed;
-    noteCallerSegment(now, assumed, message, segment);
-    keep(now, key, assumed);
-    giveToTarget(key, message, actions);
+    assume(now, key, message, segment, actions);
 }
 
 void StreamAgent::onProbe(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
@@ -263,7 +259,7 @@
         denyProbe(now, key, message, actions);
         return;
     }
-    giveToTarget(key, message, actions);
+    assume(now, key, message, segment, actions).searcher = message.sender;
 }
 
 void StreamAgent::onLocate(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
@@ -328,6 +324,9 @@
         flow.state = HeldFlow::State::Open;
         StreamMessage held = answer(now, StreamMessageKind::Held, key);
         m_search.onHeld(key, held, actions);
+        if (!flow.searcher.isNull()) {
+            actions.emplace_back(SendStreamMessage{flow.searcher, held});
+        }
         actions.emplace_back(SendStreamMessage{flow.balancer, std::move(held)});
     }
     const bool isOver = segment.has(RstFlag);
@@ -388,6 +387,16 @@
     actions.emplace_back(SendToStreamTarget{m_format.forTarget(message.packet, 0)});
 }
 
+HeldFlow &StreamAgent::assume(TimePoint now, const FlowKey &key, const StreamMessage &message, const Segment &segment, StreamActions &actions)
+{
+    HeldFlow &assumed = m_flows[key];
+    assumed.state = HeldFlow::State::Assumed;
+    noteCallerSegment(now, assumed, message, segment);
+    keep(now, key, assumed);
+    giveToTarget(key, message, actions);
+    return assumed;
+}
+
 void StreamAgent::giveToTarget(const FlowKey &key, const StreamMessage &message, StreamActions &actions)
 {
     const quint32 tag = m_nextTag++;
@@ -442,11 +451,7 @@
         return;
     }
     if (isOwnAsked) {
-        HeldFlow &assumed = m_flows[key];
-        assumed.state = HeldFlow::State::Assumed;
-        noteCallerSegment(now, assumed, message, *segment);
-        keep(now, key, assumed);
-        giveToTarget(key, message, actions);
+        assume(now, key, message, *segment, actions);
     } else if (m_search.onNotHeld(now, key, {}) == FlowSearch::Outcome::HeldByNone) {
         resetAfterSearch(now, key, message.packet, actions);
     }
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -77,6 +77,7 @@
     // Steps
     void passOpeningOn(const StreamMessage &message, const FlowKey &key, const QString &reason, StreamActions &actions);
     void deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions);
+    HeldFlow &assume(TimePoint now, const FlowKey &key, const StreamMessage &message, const Segment &segment, StreamActions &actions);
     void giveToTarget(const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     void denyFlow(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     void denyProbe(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions) const;
