--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -247,9 +247,9 @@
 void StreamAgent::onProbe(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
 {
     const FlowKey key = segment.flowFromCaller();
-    HeldFlow *flow = find(key);
+    const HeldFlow *flow = findUnassumed(key);
     if (flow != nullptr && isOfThisAnswer(*flow, segment)) {
-        deliver(now, key, *flow, message, segment, actions);
+        deliver(now, key, m_flows[key], message, segment, actions);
         const StreamMessage held = answer(now, StreamMessageKind::Held, key);
         actions.emplace_back(SendStreamMessage{message.sender, held});
         actions.emplace_back(SendStreamMessage{message.balancer, held});
@@ -265,9 +265,9 @@
 void StreamAgent::onLocate(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
 {
     const FlowKey key = segment.flowFromCaller();
-    HeldFlow *flow = find(key);
+    const HeldFlow *flow = findUnassumed(key);
     if (flow != nullptr && isOfThisAnswer(*flow, segment)) {
-        deliver(now, key, *flow, message, segment, actions);
+        deliver(now, key, m_flows[key], message, segment, actions);
         actions.emplace_back(SendStreamMessage{message.balancer, answer(now, StreamMessageKind::Held, key)});
         return;
     }
@@ -445,7 +445,7 @@
         return;
     }
     const bool isNew = !m_search.isSearching(key);
-    const bool isOwnAsked = message.kind == StreamMessageKind::Locate && !knowsAllFlows(now) && find(key) == nullptr;
+    const bool isOwnAsked = message.kind == StreamMessageKind::Locate && !knowsAllFlows(now) && findUnassumed(key) == nullptr;
     m_search.begin(now, key, message, isOwnAsked, actions);
     if (!isNew) {
         return;
@@ -561,6 +561,12 @@
     return message;
 }
 
+const HeldFlow *StreamAgent::findUnassumed(const FlowKey &key)
+{
+    const HeldFlow *flow = find(key);
+    return flow != nullptr && flow->state != HeldFlow::State::Assumed ? flow : nullptr;
+}
+
 HeldFlow *StreamAgent::find(const FlowKey &key)
 {
     const auto found = m_flows.find(key);
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -91,6 +91,8 @@
     bool knowsAllFlows(TimePoint now) const;
     bool isOfThisAnswer(const HeldFlow &flow, const Segment &segment) const;
     StreamMessage answer(TimePoint now, StreamMessageKind kind, const FlowKey &key) const;
+    /// The flow, unless its target has not shown yet whether it holds it.
+    const HeldFlow *findUnassumed(const FlowKey &key);
     HeldFlow *find(const FlowKey &key);
     Duration idleTimeout() const;
 
