--- a/apps/rattanpickd/stream/directoryduty.cpp
+++ b/apps/rattanpickd/stream/directoryduty.cpp
@@ -2,6 +2,8 @@
 
 #include <QRandomGenerator>
 
+#include <algorithm>
+
 namespace Rattanpick
 {
 
@@ -9,36 +11,92 @@
 {
 
 /// The longest wait between two looks at whether the process ends.
-constexpr Duration waitLimit = 1s;
+constexpr Duration waitLimit = 10s;
+constexpr int okStatus = 200;
+constexpr char afterParameter[] = "after=";
+
+qint64 milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
 
 }
 
 DirectoryDuty::DirectoryDuty(StreamContext &context)
     : m_context(context)
     , m_watcher(DirectoryWatcherSettings{.seed = QRandomGenerator::system()->generate64()})
+    , m_peers(HttpClientSettings{.connectTimeout = 300ms})
 {
+    m_watcher.setSeeds(context.settings.seeds);
 }
 
 void DirectoryDuty::run()
 {
     while (!m_context.isEnding) {
+        m_context.directoryWakeup.arm();
         if (m_context.isReadingWanted.exchange(false)) {
             m_watcher.requestReading();
         }
+        while (const std::optional<Endpoint> informant = m_context.informants.pop()) {
+            m_watcher.requestPull(*informant);
+        }
+        m_watcher.setReader(m_context.isReader);
         const TimePoint now = Clock::now();
-        const SourceCall next = m_watcher.next(now);
-        if (next.kind == SourceCall::Kind::Wait) {
-            m_context.directoryWakeup.arm();
+        const SourceCall call = m_watcher.next(now);
+        if (call.kind == SourceCall::Kind::Wait) {
             if (!m_context.isEnding) {
-                m_context.directoryWakeup.wait(std::min(waitLimit, next.time - now));
+                m_context.directoryWakeup.wait(std::min(waitLimit, call.time - now));
             }
             continue;
         }
-        const SourceAnswer answer = call(next);
+        if (call.kind == SourceCall::Kind::Pull) {
+            pull(call);
+            continue;
+        }
+        const SourceAnswer answer = callSource(call);
         const TimePoint end = Clock::now();
-        record(next, answer, end - now);
-        take(end, answer);
+        record(call, answer, end - now);
+        take(end, call, answer);
+    }
+}
+
+QByteArray DirectoryDuty::answerPeer(const QByteArray &query) const
+{
+    const qsizetype begin = query.indexOf(afterParameter);
+    const quint64 after = begin < 0 ? 0 : query.mid(begin + static_cast<qsizetype>(sizeof(afterParameter)) - 1).toULongLong();
+    const std::scoped_lock lock(m_imageMutex);
+    return m_image.revision() > 0 ? encodeDirectoryBatch(Clock::now(), m_image.since(after)) : QByteArray();
+}
+
+SourceAnswer DirectoryDuty::callSource(const SourceCall &call)
+{
+    m_context.metrics.counter(QStringLiteral("directory.calls")).add();
+    if (call.kind == SourceCall::Kind::ReadAll) {
+        return m_context.source.readAll(call.deadline);
+    }
+    return m_context.source.watch(call.afterRevision, call.waitDeadline, call.deadline);
+}
+
+void DirectoryDuty::pull(const SourceCall &call)
+{
+    m_context.metrics.counter(QStringLiteral("directory.pulls")).add();
+    const QByteArray path = QByteArray(directoryPath) + '?' + afterParameter + QByteArray::number(call.afterRevision);
+    const std::optional<HttpAnswer> answer = m_peers.get(call.peer, path, call.deadline);
+    std::optional<DirectoryBatch> batch;
+    if (answer && answer->status == okStatus) {
+        batch = decodeDirectoryBatch(Clock::now(), answer->body);
+    }
+    const QString from = call.peer.toString();
+    if (!batch) {
+        m_watcher.onPulled(Clock::now(), std::nullopt);
+        m_context.log.record(EventNumber::DirectoryPulled,
+                             QStringLiteral("nothing from %1: %2").arg(from, answer ? QStringLiteral("no directory") : m_peers.lastError()));
+        return;
     }
+    m_context.log.record(EventNumber::DirectoryPulled,
+                         QStringLiteral("%1 changes from %2 up to revision %3").arg(batch->changes.size()).arg(from).arg(batch->revision));
+    m_watcher.onPulled(Clock::now(), batch->revision);
+    push(std::move(*batch));
 }
 
 void DirectoryDuty::record(const SourceCall &call, const SourceAnswer &answer, Duration elapsed)
@@ -55,33 +113,38 @@
                              .arg(isReading ? 0 : call.afterRevision)
                              .arg(answer.revision)
                              .arg(what)
-                             .arg(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count()));
+                             .arg(milliseconds(elapsed)));
 }
 
-SourceAnswer DirectoryDuty::call(const SourceCall &call)
-{
-    m_context.metrics.counter(QStringLiteral("directory.calls")).add();
-    if (call.kind == SourceCall::Kind::ReadAll) {
-        return m_context.source.readAll(call.deadline);
-    }
-    return m_context.source.watch(call.afterRevision, call.waitDeadline, call.deadline);
-}
-
-void DirectoryDuty::take(TimePoint now, SourceAnswer answer)
+void DirectoryDuty::take(TimePoint now, const SourceCall &call, SourceAnswer answer)
 {
     m_watcher.onAnswer(now, answer);
     const bool isAvailable = answer.result != SourceResult::Failed;
+    DirectoryBatch batch{answer.revision, std::move(answer.changes)};
     if (m_isAvailable != isAvailable) {
         m_isAvailable = isAvailable;
         m_context.log.record(isAvailable ? EventNumber::PlatformReturned : EventNumber::PlatformUnavailable, answer.remark);
-        answer.changes.insert(answer.changes.begin(), SourceSwitched{isAvailable, answer.remark});
     } else if (isAvailable && !answer.remark.isEmpty()) {
         m_context.log.record(EventNumber::DirectoryEntryRefused, answer.remark);
     }
-    if (answer.changes.empty() && answer.result != SourceResult::Read) {
+    // A watch that brings no change although the revision has risen has missed changes.
+    const bool hasMissedChanges = call.kind == SourceCall::Kind::Watch && batch.changes.empty() && batch.revision > call.afterRevision;
+    if (hasMissedChanges) {
+        m_watcher.requestReading();
         return;
     }
-    if (!m_context.changes.push(std::make_shared<const DirectoryBatch>(DirectoryBatch{answer.revision, std::move(answer.changes)}))) {
+    if (!batch.changes.empty() || answer.result == SourceResult::Read) {
+        push(std::move(batch));
+    }
+}
+
+void DirectoryDuty::push(DirectoryBatch batch)
+{
+    {
+        const std::scoped_lock lock(m_imageMutex);
+        m_image.apply(batch);
+    }
+    if (!m_context.changes.push(std::make_shared<const DirectoryBatch>(std::move(batch)))) {
         // What was lost is read again; what did arrive stays valid, since revisions order the changes.
         m_context.log.record(EventNumber::RingFull, QStringLiteral("directory changes"));
         m_watcher.requestReading();
--- a/apps/rattanpickd/stream/directoryduty.h
+++ b/apps/rattanpickd/stream/directoryduty.h
@@ -2,14 +2,19 @@
 
 #include "rattanpickd/stream/streamcontext.h"
 
+#include "configservice/httpclient.h"
 #include "stream/directorywatcher.h"
 
+#include <mutex>
 #include <optional>
 
 namespace Rattanpick
 {
 
-/// Reads and watches the directory source and hands its changes to the packet duty.
+/// Path at which processes serve their directory to each other; "after=REVISION" may follow as query.
+inline constexpr char directoryPath[] = "/directory";
+
+/// Reads and watches the directory source, asks peers, and hands the changes to the packet duty.
 class DirectoryDuty
 {
 public:
@@ -19,15 +24,23 @@
     /// Works until the context ends.
     void run();
 
+    /// What the directory knows after the revision that the query names, for a peer; any thread may ask.
+    QByteArray answerPeer(const QByteArray &query) const;
+
 private:
+    void take(TimePoint now, const SourceCall &call, SourceAnswer answer);
+    void pull(const SourceCall &call);
+    SourceAnswer callSource(const SourceCall &call);
     void record(const SourceCall &call, const SourceAnswer &answer, Duration elapsed);
-    SourceAnswer call(const SourceCall &call);
-    void take(TimePoint now, SourceAnswer answer);
+    void push(DirectoryBatch batch);
 
     StreamContext &m_context;
     DirectoryWatcher m_watcher;
-    /// Nothing before the first answer.
+    HttpClient m_peers;
+    /// Nothing before the first answer of the source.
     std::optional<bool> m_isAvailable;
+    mutable std::mutex m_imageMutex;
+    DirectoryImage m_image;
 };
 
 }
--- a/apps/rattanpickd/stream/streamcontext.h
+++ b/apps/rattanpickd/stream/streamcontext.h
@@ -5,6 +5,7 @@
 #include "core/boundedring.h"
 #include "core/eventlog.h"
 #include "core/metrics.h"
+#include "stream/directoryimage.h"
 #include "stream/directorysource.h"
 #include "stream/segmentformat.h"
 #include "stream/streamprocesssettings.h"
@@ -15,14 +16,6 @@
 namespace Rattanpick
 {
 
-/// The changes of one answer of the directory source.
-struct DirectoryBatch
-{
-    /// The revision that the directory has reached after the changes.
-    quint64 revision = 0;
-    std::vector<DirectoryChange> changes;
-};
-
 /// The end of one verification.
 struct Verification
 {
@@ -71,6 +64,10 @@
     std::atomic<bool> isStopping = false;
     /// The directory duty is to read everything again.
     std::atomic<bool> isReadingWanted = false;
+    /// The directory duty is to watch the source for others.
+    std::atomic<bool> isReader = false;
+    /// Peers that the directory duty is to ask for what they know.
+    BoundedRing<Endpoint> informants{changeRingSize};
     /// The verification duty is to ask the source for its revision.
     std::atomic<bool> isVerificationWanted = false;
     /// Set when all duties shall end.
--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -93,7 +93,7 @@
     handleStopSignals(context);
 
     HttpServer ready(settings->ready);
-    ready.handle(readinessPath, [&context] {
+    ready.handle(readinessPath, [&context](const QByteArray &) {
         if (context.isStopping) {
             ++context.refusedReadiness;
             context.packetWakeup.notify();
@@ -102,15 +102,28 @@
                                : HttpResponse{unavailableStatus, "text/plain; charset=utf-8", "not ready\n"};
     });
     HttpServer metrics(settings->metrics);
-    metrics.handle("/metrics", [&context] { return HttpResponse{okStatus, "application/json", QJsonDocument(context.metrics.snapshot()).toJson()}; });
-    for (HttpServer *server : {&ready, &metrics}) {
+    metrics.handle("/metrics", [&context](const QByteArray &) {
+        return HttpResponse{okStatus, "application/json", QJsonDocument(context.metrics.snapshot()).toJson()};
+    });
+    DirectoryDuty directory(context);
+    HttpServer control(settings->control);
+    for (HttpServer *server : {&metrics, &control}) {
+        server->handle(directoryPath, [&directory](const QByteArray &query) {
+            QByteArray batch = directory.answerPeer(query);
+            return HttpResponse{batch.isEmpty() ? unavailableStatus : okStatus, "application/octet-stream", std::move(batch)};
+        });
+    }
+    std::vector<HttpServer *> servers{&ready, &metrics};
+    if (!settings->control.isNull()) {
+        servers.push_back(&control);
+    }
+    for (HttpServer *server : servers) {
         if (!server->start()) {
             std::fprintf(stderr, "rattanpickd: %s\n", qPrintable(server->lastError()));
             return 1;
         }
     }
     context.log.record(EventNumber::ProcessStarted, options.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent"));
-    DirectoryDuty directory(context);
     std::thread directoryThread([&directory] { directory.run(); });
 
     VerificationDuty verification(context);
@@ -125,8 +138,9 @@
     context.verificationWakeup.notify();
     directoryThread.join();
     verificationThread.join();
-    ready.stop();
-    metrics.stop();
+    for (HttpServer *server : servers) {
+        server->stop();
+    }
     // On the platform, the static destructor of log4cplus waited for its worker threads until the process was killed.
     std::quick_exit(0);
 }
--- a/apps/rattanpickd/stream/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -22,6 +22,9 @@
 constexpr Duration tickInterval = 500ms;
 /// A longer gap between two steps means that the process was paused.
 constexpr Duration pauseLimit = 1500ms;
+/// A directory that nobody could verify for longer is outdated. Above the age at which any process verifies by itself,
+/// and below the time in which entries expire while the source is away.
+constexpr Duration outdatedAge = 2200ms;
 /// The network stops sending callers to a process after this many refusals in a row.
 constexpr int believedRefusals = 2;
 /// Batches thrown away at most after a pause; bounds the work if packets keep coming.
@@ -142,11 +145,22 @@
 void StreamDuty::takeChanges(TimePoint now)
 {
     while (const auto batch = m_context.changes.pop()) {
+        const bool isNews = (*batch)->revision > m_freshness.revision();
         m_freshness.onRevision(now, (*batch)->revision);
+        judgeSource(now);
         for (const DirectoryChange &change : (*batch)->changes) {
             m_decisions->onDirectoryChange(now, change, m_actions);
             record((*batch)->revision, change);
         }
+        if (isNews) {
+            m_decisions->onNews(now, m_actions);
+        }
+    }
+    if (m_context.isReader != m_decisions->isReader()) {
+        m_context.isReader = m_decisions->isReader();
+        m_freshness.setReader(m_context.isReader);
+        m_context.log.record(m_context.isReader ? EventNumber::ReaderElected : EventNumber::ReaderDismissed);
+        m_context.directoryWakeup.notify();
     }
 }
 
@@ -159,14 +173,42 @@
             m_freshness.onVerificationFailed(now);
         }
     }
+    judgeSource(now);
     if (m_freshness.takeVerification(now)) {
         m_context.isVerificationWanted = true;
         m_context.verificationWakeup.notify();
     }
-    if (m_freshness.takeReading(now)) {
+    if (m_freshness.takeFetch(now)) {
+        fetch();
+    }
+    if (m_freshness.takeQuestion(now)) {
+        m_decisions->onStale(now, m_actions);
+        carryOut(now);
+    }
+}
+
+void StreamDuty::judgeSource(TimePoint now)
+{
+    const bool isCurrent = m_freshness.revision() > 0 && m_freshness.age(now) < outdatedAge;
+    if (isCurrent == m_isCurrent) {
+        return;
+    }
+    m_isCurrent = isCurrent;
+    m_decisions->onDirectoryChange(now, SourceSwitched{isCurrent, {}}, m_actions);
+    m_context.log.record(isCurrent ? EventNumber::DirectoryCurrent : EventNumber::DirectoryOutdated, QStringLiteral("revision %1").arg(m_freshness.revision()));
+}
+
+void StreamDuty::fetch()
+{
+    const Endpoint informant = m_freshness.informant();
+    if (informant.isNull()) {
         m_context.log.record(EventNumber::WatchDeaf, QStringLiteral("the directory is at revision %1").arg(m_freshness.revision()));
         readAgain();
+        return;
     }
+    // All processes serve their directory at the same port.
+    m_context.informants.push({informant.address, m_context.settings.metrics.port});
+    m_context.directoryWakeup.notify();
 }
 
 void StreamDuty::readAgain()
@@ -203,7 +245,7 @@
             m_malformedMessages.add();
             continue;
         }
-        m_freshness.onPeer(now, message->directoryRevision, std::chrono::milliseconds(message->verifiedMilliseconds));
+        m_freshness.onPeer(now, message->sender, message->directoryRevision, std::chrono::milliseconds(message->verifiedMilliseconds));
         m_decisions->onMessage(now, *message, m_actions);
         carryOut(now);
     }
--- a/apps/rattanpickd/stream/streamduty.h
+++ b/apps/rattanpickd/stream/streamduty.h
@@ -38,6 +38,8 @@
     void takeChanges(TimePoint now);
     void record(quint64 revision, const DirectoryChange &change);
     void keepFresh(TimePoint now);
+    void judgeSource(TimePoint now);
+    void fetch();
     void readAgain();
     void receiveMessages(TimePoint now);
     void receivePackets(TimePoint now);
@@ -56,6 +58,8 @@
     TimePoint m_latestStep;
     TimePoint m_tickDeadline{};
     bool m_isStopNoticed = false;
+    /// Whether somebody could verify the directory lately.
+    bool m_isCurrent = false;
     QString m_lastError;
     Counter &m_receivedMessages;
     Counter &m_receivedPackets;
--- a/packages/configservice/httpclientsettings.h
+++ b/packages/configservice/httpclientsettings.h
@@ -12,7 +12,7 @@
 struct HttpClientSettings
 {
     /// Sent as header X-Caller, so that a service can tell callers apart; left out if empty.
-    QString caller;
+    QString caller = {};
     /// The longest wait for a connection; a service in the same region accepts within milliseconds.
     Duration connectTimeout = 1s;
     /// Bounds the memory that an answer can claim; the instance list of the design size has about 5 MB.
--- a/packages/operators/httpserver.cpp
+++ b/packages/operators/httpserver.cpp
@@ -79,8 +79,10 @@
                 return {static_cast<unsigned>(http::status::method_not_allowed), "text/plain; charset=utf-8", "only GET is served here\n"};
             }
             const beast::string_view target = request.target();
-            const auto found = m_handlers.find(std::string(target.substr(0, target.find('?'))));
-            return found != m_handlers.end() ? found->second()
+            const std::size_t mark = target.find('?');
+            const beast::string_view query = mark == beast::string_view::npos ? beast::string_view() : target.substr(mark + 1);
+            const auto found = m_handlers.find(std::string(target.substr(0, mark)));
+            return found != m_handlers.end() ? found->second(QByteArray(query.data(), static_cast<qsizetype>(query.size())))
                                              : HttpResponse{static_cast<unsigned>(http::status::not_found), "text/plain; charset=utf-8", "no such page\n"};
         }
 
--- a/packages/operators/httpserver.h
+++ b/packages/operators/httpserver.h
@@ -26,8 +26,8 @@
 class HttpServer
 {
 public:
-    /// Makes the answer to a request; called in the server's thread.
-    using Handler = std::function<HttpResponse()>;
+    /// Makes the answer to a request from the text behind the question mark; called in the server's thread.
+    using Handler = std::function<HttpResponse(const QByteArray &query)>;
 
     /// Builds a server that does not listen yet.
     explicit HttpServer(const Endpoint &listen);
--- /dev/null
+++ b/packages/stream/directoryimage.cpp
@@ -0,0 +1,273 @@
+#include "stream/directoryimage.h"
+
+#include "core/assertion.h"
+#include "fabric/wireformat.h"
+
+#include <algorithm>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// Removals that are remembered for peers that are behind; some minutes of the greatest rate of changes.
+constexpr std::size_t removalLimit = 4096;
+/// Bounds the memory that malformed bytes can claim; the design size has some 20,000 targets and 2,000 routes.
+constexpr quint32 maximumCount = 1'000'000;
+/// Tells the format from others and its versions from each other.
+constexpr quint32 batchMagic = 0x52504401;
+
+enum class ChangeTag : quint8 {
+    Listed = 1,
+    Unlisted,
+    Switched,
+    Routes,
+    Completed,
+};
+
+bool isRemoval(const DirectoryChange &change)
+{
+    const auto *switched = std::get_if<DataCentreSwitched>(&change);
+    return std::holds_alternative<TargetUnlisted>(change) || (switched != nullptr && !switched->isOut);
+}
+
+qint64 remainingMilliseconds(TimePoint now, TimePoint deadline)
+{
+    return std::max<qint64>(0, std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count());
+}
+
+void writeRoutes(QDataStream &stream, const RouteTable &table)
+{
+    stream << table.version() << static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(table.idleTimeout()).count());
+    const std::vector<Route> routes = table.routes();
+    stream << static_cast<quint32>(routes.size());
+    for (const Route &route : routes) {
+        stream << route.address << static_cast<quint32>(route.shares.size());
+        for (const ServiceShare &share : route.shares) {
+            stream << share.service << share.weight;
+        }
+    }
+    const std::vector<StreamService> services = table.services();
+    stream << static_cast<quint32>(services.size());
+    for (const StreamService &service : services) {
+        stream << service.name << service.coldRequestsPerSecond
+               << static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(service.coldTime).count());
+    }
+}
+
+quint32 readCount(QDataStream &stream)
+{
+    quint32 count = 0;
+    stream >> count;
+    requireWire(stream, count <= maximumCount);
+    return stream.status() == QDataStream::Ok ? count : 0;
+}
+
+RouteTablePointer readRoutes(QDataStream &stream)
+{
+    quint64 version = 0;
+    qint64 idleMilliseconds = 0;
+    stream >> version >> idleMilliseconds;
+    std::vector<Route> routes;
+    for (quint32 left = readCount(stream); left > 0 && stream.status() == QDataStream::Ok; --left) {
+        Route route;
+        stream >> route.address;
+        for (quint32 shares = readCount(stream); shares > 0 && stream.status() == QDataStream::Ok; --shares) {
+            ServiceShare share;
+            stream >> share.service >> share.weight;
+            route.shares.push_back(share);
+        }
+        requireWire(stream, !route.shares.empty());
+        routes.push_back(std::move(route));
+    }
+    std::vector<StreamService> services;
+    for (quint32 left = readCount(stream); left > 0 && stream.status() == QDataStream::Ok; --left) {
+        StreamService service;
+        qint64 coldMilliseconds = 0;
+        stream >> service.name >> service.coldRequestsPerSecond >> coldMilliseconds;
+        service.id = serviceIdOf(service.name.toUtf8());
+        service.coldTime = std::chrono::milliseconds(coldMilliseconds);
+        services.push_back(std::move(service));
+    }
+    if (stream.status() != QDataStream::Ok) {
+        return nullptr;
+    }
+    return std::make_shared<const RouteTable>(version, std::move(routes), std::move(services), std::chrono::milliseconds(idleMilliseconds));
+}
+
+void writeChange(QDataStream &stream, TimePoint now, const DirectoryChange &change)
+{
+    if (const auto *listed = std::get_if<TargetListed>(&change)) {
+        const StreamTarget &target = listed->target;
+        stream << ChangeTag::Listed << listed->revision << target.name << target.incarnation << target.service << target.address << target.dataCentre
+               << target.slotCount << target.isDraining << remainingMilliseconds(now, target.coldDeadline);
+    } else if (const auto *unlisted = std::get_if<TargetUnlisted>(&change)) {
+        stream << ChangeTag::Unlisted << unlisted->revision << unlisted->name;
+    } else if (const auto *switched = std::get_if<DataCentreSwitched>(&change)) {
+        stream << ChangeTag::Switched << switched->revision << switched->name << switched->isOut;
+    } else if (const auto *published = std::get_if<RoutesPublished>(&change)) {
+        stream << ChangeTag::Routes << published->revision;
+        writeRoutes(stream, *published->routes);
+    } else if (const auto *completed = std::get_if<ReadingCompleted>(&change)) {
+        stream << ChangeTag::Completed << completed->revision << completed->targets << completed->dataCentresOut;
+    }
+}
+
+std::optional<DirectoryChange> readChange(QDataStream &stream, TimePoint now)
+{
+    ChangeTag tag{};
+    quint64 revision = 0;
+    stream >> tag >> revision;
+    switch (tag) {
+    case ChangeTag::Listed: {
+        StreamTarget target;
+        qint64 coldMilliseconds = 0;
+        stream >> target.name >> target.incarnation >> target.service >> target.address >> target.dataCentre >> target.slotCount >> target.isDraining
+            >> coldMilliseconds;
+        target.id = targetIdOf(target.name.toUtf8());
+        target.coldDeadline = coldMilliseconds > 0 ? now + std::chrono::milliseconds(coldMilliseconds) : TimePoint{};
+        return TargetListed{revision, std::move(target)};
+    }
+    case ChangeTag::Unlisted: {
+        TargetUnlisted unlisted{revision, {}};
+        stream >> unlisted.name;
+        return unlisted;
+    }
+    case ChangeTag::Switched: {
+        DataCentreSwitched switched{revision, {}, false};
+        stream >> switched.name >> switched.isOut;
+        return switched;
+    }
+    case ChangeTag::Routes: {
+        RouteTablePointer routes = readRoutes(stream);
+        return routes != nullptr ? std::optional<DirectoryChange>(RoutesPublished{revision, std::move(routes)}) : std::nullopt;
+    }
+    case ChangeTag::Completed: {
+        ReadingCompleted completed{revision, {}, {}};
+        stream >> completed.targets >> completed.dataCentresOut;
+        return completed;
+    }
+    }
+    return std::nullopt;
+}
+
+}
+
+void DirectoryImage::apply(const DirectoryBatch &batch)
+{
+    for (const DirectoryChange &change : batch.changes) {
+        if (const auto *listed = std::get_if<TargetListed>(&change)) {
+            put(QStringLiteral("target ") + listed->target.name, listed->revision, change);
+        } else if (const auto *unlisted = std::get_if<TargetUnlisted>(&change)) {
+            put(QStringLiteral("target ") + unlisted->name, unlisted->revision, change);
+        } else if (const auto *switched = std::get_if<DataCentreSwitched>(&change)) {
+            put(QStringLiteral("data centre ") + switched->name, switched->revision, change);
+        } else if (const auto *published = std::get_if<RoutesPublished>(&change)) {
+            put(QStringLiteral("routes"), published->revision, change);
+        } else if (const auto *completed = std::get_if<ReadingCompleted>(&change)) {
+            complete(*completed);
+        }
+    }
+    m_revision = std::max(m_revision, batch.revision);
+    forgetRemovals();
+}
+
+DirectoryBatch DirectoryImage::since(quint64 revision) const
+{
+    DirectoryBatch batch{m_revision, {}};
+    const bool isWhole = revision < m_horizon;
+    ReadingCompleted completed{m_revision, {}, {}};
+    for (const auto &[key, item] : m_items) {
+        if (item.revision > revision || isWhole) {
+            batch.changes.push_back(item.change);
+        }
+        if (const auto *listed = std::get_if<TargetListed>(&item.change)) {
+            completed.targets.insert(listed->target.name);
+        } else if (const auto *switched = std::get_if<DataCentreSwitched>(&item.change); switched != nullptr && switched->isOut) {
+            completed.dataCentresOut.insert(switched->name);
+        }
+    }
+    if (isWhole) {
+        batch.changes.emplace_back(std::move(completed));
+    }
+    return batch;
+}
+
+void DirectoryImage::put(const QString &key, quint64 revision, const DirectoryChange &change)
+{
+    Item &item = m_items[key];
+    if (revision >= item.revision) {
+        item = {revision, change};
+    }
+}
+
+void DirectoryImage::complete(const ReadingCompleted &completed)
+{
+    for (auto &[key, item] : m_items) {
+        if (item.revision > completed.revision) {
+            continue;
+        }
+        // What the reading did not show was removed at some revision that nobody knows; the reading's own is the latest.
+        const auto *listed = std::get_if<TargetListed>(&item.change);
+        const auto *switched = std::get_if<DataCentreSwitched>(&item.change);
+        if (listed != nullptr && !completed.targets.contains(listed->target.name)) {
+            item = {completed.revision, TargetUnlisted{completed.revision, listed->target.name}};
+        } else if (switched != nullptr && switched->isOut && !completed.dataCentresOut.contains(switched->name)) {
+            item = {completed.revision, DataCentreSwitched{completed.revision, switched->name, false}};
+        }
+    }
+    // A first reading does not show what was removed before it.
+    m_horizon = m_revision == 0 ? completed.revision : m_horizon;
+}
+
+void DirectoryImage::forgetRemovals()
+{
+    std::vector<quint64> removals;
+    for (const auto &[key, item] : m_items) {
+        if (isRemoval(item.change)) {
+            removals.push_back(item.revision);
+        }
+    }
+    if (removals.size() <= removalLimit) {
+        return;
+    }
+    std::ranges::nth_element(removals, removals.begin() + static_cast<std::ptrdiff_t>(removals.size() / 2));
+    m_horizon = std::max(m_horizon, removals[removals.size() / 2]);
+    std::erase_if(m_items, [this](const auto &entry) { return isRemoval(entry.second.change) && entry.second.revision <= m_horizon; });
+}
+
+QByteArray encodeDirectoryBatch(TimePoint now, const DirectoryBatch &batch)
+{
+    QByteArray bytes;
+    QDataStream stream(&bytes, QIODevice::WriteOnly);
+    stream.setVersion(wireVersion);
+    stream << batchMagic << batch.revision << static_cast<quint32>(batch.changes.size());
+    for (const DirectoryChange &change : batch.changes) {
+        RP_ASSERT(!std::holds_alternative<SourceSwitched>(change));
+        writeChange(stream, now, change);
+    }
+    return bytes;
+}
+
+std::optional<DirectoryBatch> decodeDirectoryBatch(TimePoint now, QByteArrayView bytes)
+{
+    const QByteArray raw = QByteArray::fromRawData(bytes.data(), bytes.size());
+    QDataStream stream(raw);
+    stream.setVersion(wireVersion);
+    quint32 magic = 0;
+    DirectoryBatch batch;
+    stream >> magic >> batch.revision;
+    requireWire(stream, magic == batchMagic);
+    for (quint32 left = readCount(stream); left > 0; --left) {
+        std::optional<DirectoryChange> change = readChange(stream, now);
+        if (!change || stream.status() != QDataStream::Ok) {
+            return std::nullopt;
+        }
+        batch.changes.push_back(std::move(*change));
+    }
+    requireWire(stream, stream.atEnd());
+    return stream.status() == QDataStream::Ok ? std::optional(std::move(batch)) : std::nullopt;
+}
+
+}
--- a/packages/stream/directorywatcher.cpp
+++ b/packages/stream/directorywatcher.cpp
@@ -15,16 +15,27 @@
 SourceCall DirectoryWatcher::next(TimePoint now) const
 {
     SourceCall call;
+    call.afterRevision = m_revision;
+    // A peer is asked also while the source fails: it may be cut off from this process alone.
+    if (m_peer) {
+        call.kind = SourceCall::Kind::Pull;
+        call.peer = *m_peer;
+        call.deadline = now + m_settings.pullTimeout;
+        return call;
+    }
     call.time = std::max(m_callTime, m_backoff.deadline());
     if (now < call.time) {
         return call;
     }
-    call.afterRevision = m_revision;
     if (m_needsReading) {
         call.kind = SourceCall::Kind::ReadAll;
         call.deadline = now + m_settings.readTimeout;
         return call;
     }
+    if (!m_isReader) {
+        call.time = now + m_settings.watchTime;
+        return call;
+    }
     call.kind = SourceCall::Kind::Watch;
     call.waitDeadline = now + m_settings.watchTime;
     call.deadline = call.waitDeadline + m_settings.watchSlack;
@@ -48,10 +59,30 @@
     case SourceResult::Failed:
         m_isAvailable = false;
         m_backoff.fail(now, m_random);
+        if (m_revision == 0 && !m_seeds.isEmpty()) {
+            m_peer = m_seeds.at(m_nextSeed++ % m_seeds.size());
+        }
         break;
     }
 }
 
+void DirectoryWatcher::onPulled(TimePoint now, std::optional<quint64> revision)
+{
+    m_peer.reset();
+    if (!revision) {
+        // The source knows what the peer would have told.
+        m_needsReading = true;
+        m_callTime = std::max(m_callTime, now);
+        return;
+    }
+    m_revision = std::max(m_revision, *revision);
+}
+
+void DirectoryWatcher::requestPull(const Endpoint &peer)
+{
+    m_peer = peer;
+}
+
 void DirectoryWatcher::requestReading()
 {
     m_needsReading = true;
--- a/packages/stream/freshnessguard.cpp
+++ b/packages/stream/freshnessguard.cpp
@@ -8,7 +8,8 @@
 FreshnessGuard::FreshnessGuard(const FreshnessGuardSettings &settings, TimePoint now)
     : m_settings(settings)
     , m_random(settings.seed)
-    , m_verificationDeadline(now + settings.maximumAge)
+    , m_verificationDeadline(now + settings.maximumAge + settings.otherDelay)
+    , m_questionDeadline(now + settings.staleAge)
 {
 }
 
@@ -22,8 +23,8 @@
     m_revision = revision;
     m_latestRevision = std::max(m_latestRevision, revision);
     if (m_revision == m_latestRevision) {
-        m_readingDeadline = TimePoint::max();
-        // A change that arrives at once shows that the watch is heard.
+        m_fetchDeadline = TimePoint::max();
+        // News that arrives at once shows that the way from the source is open.
         verifiedAt(now);
     }
 }
@@ -32,7 +33,7 @@
 {
     m_isVerifying = false;
     m_verificationDeadline = now + m_settings.retryTime;
-    onPeer(now, revision, now - sentAt);
+    learn(now, {}, revision, now - sentAt);
 }
 
 void FreshnessGuard::onVerificationFailed(TimePoint now)
@@ -41,15 +42,9 @@
     m_verificationDeadline = now + m_settings.retryTime;
 }
 
-void FreshnessGuard::onPeer(TimePoint now, quint64 revision, Duration age)
+void FreshnessGuard::onPeer(TimePoint now, const Endpoint &sender, quint64 revision, Duration age)
 {
-    if (revision > m_latestRevision) {
-        m_latestRevision = revision;
-        m_readingDeadline = std::min(m_readingDeadline, now + m_settings.patience);
-    }
-    if (revision == m_revision && revision == m_latestRevision) {
-        verifiedAt(now - age);
-    }
+    learn(now, sender, revision, age);
 }
 
 // Decisions
@@ -63,20 +58,30 @@
     return true;
 }
 
-bool FreshnessGuard::takeReading(TimePoint now)
+bool FreshnessGuard::takeFetch(TimePoint now)
 {
-    if (now < m_readingDeadline) {
+    if (now < m_fetchDeadline) {
         return false;
     }
-    // If the reading fails, the next message of a peer or the next verification asks for another one.
-    m_readingDeadline = TimePoint::max();
+    // If it fails, the next message of a peer or the next verification asks for another fetch.
+    m_fetchDeadline = TimePoint::max();
     m_latestRevision = m_revision;
     return true;
 }
 
+bool FreshnessGuard::takeQuestion(TimePoint now)
+{
+    if (now < m_questionDeadline) {
+        return false;
+    }
+    m_questionDeadline = now + m_settings.askInterval;
+    return m_revision > 0;
+}
+
 TimePoint FreshnessGuard::nextDeadline() const
 {
-    return m_isVerifying || m_revision == 0 ? m_readingDeadline : std::min(m_readingDeadline, m_verificationDeadline);
+    const TimePoint next = std::min(m_fetchDeadline, m_questionDeadline);
+    return m_isVerifying || m_revision == 0 ? next : std::min(next, m_verificationDeadline);
 }
 
 // State
@@ -86,6 +91,18 @@
     return now - m_verifiedAt;
 }
 
+void FreshnessGuard::learn(TimePoint now, const Endpoint &informant, quint64 revision, Duration age)
+{
+    if (revision > m_latestRevision) {
+        m_latestRevision = revision;
+        m_informant = informant;
+        m_fetchDeadline = std::min(m_fetchDeadline, now + (m_isReader ? m_settings.patience : m_settings.gatherTime));
+    }
+    if (revision == m_revision && revision == m_latestRevision) {
+        verifiedAt(now - age);
+    }
+}
+
 void FreshnessGuard::verifiedAt(TimePoint time)
 {
     if (time <= m_verifiedAt) {
@@ -93,7 +110,9 @@
     }
     m_verifiedAt = time;
     std::uniform_int_distribution<Duration::rep> spread(m_settings.minimumAge.count(), m_settings.maximumAge.count());
-    m_verificationDeadline = std::max(m_verificationDeadline, time + Duration(spread(m_random)));
+    const Duration delay = Duration(spread(m_random)) + (m_isReader ? Duration::zero() : m_settings.otherDelay);
+    m_verificationDeadline = std::max(m_verificationDeadline, time + delay);
+    m_questionDeadline = std::max(m_questionDeadline, time + m_settings.staleAge);
 }
 
 }
--- a/packages/stream/freshnessguard.h
+++ b/packages/stream/freshnessguard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/endpoint.h"
 #include "stream/freshnessguardsettings.h"
 
 #include <QtGlobal>
@@ -9,7 +10,7 @@
 namespace Rattanpick
 {
 
-/// Notices that the watch of the directory source has gone deaf: it brings nothing although the source has changed.
+/// Keeps a process from deciding on an outdated directory: finds news that peers have, and watches that have gone deaf.
 ///
 /// Processes tell each other their revision and how long ago it was verified, so that few calls serve the whole fleet.
 class FreshnessGuard
@@ -29,16 +30,31 @@
     /// A verification has failed.
     void onVerificationFailed(TimePoint now);
 
-    /// A peer has the revision, which was verified @p age ago.
-    void onPeer(TimePoint now, quint64 revision, Duration age);
+    /// The process at @p sender has the revision, which was verified @p age ago.
+    void onPeer(TimePoint now, const Endpoint &sender, quint64 revision, Duration age);
+
+    /// Whether this process watches the source for others.
+    void setReader(bool isReader)
+    {
+        m_isReader = isReader;
+    }
 
     // Decisions
 
     /// Whether the source is to be asked for its revision now; true once for each verification.
     bool takeVerification(TimePoint now);
 
-    /// Whether everything is to be read again, since the watch did not bring a known change; true once.
-    bool takeReading(TimePoint now);
+    /// Whether what others know is to be fetched now; true once for each piece of news.
+    bool takeFetch(TimePoint now);
+
+    /// The process that told of the latest revision; null if the source itself did, or if this process is a reader.
+    Endpoint informant() const
+    {
+        return m_isReader ? Endpoint{} : m_informant;
+    }
+
+    /// Whether others are to be asked now how fresh they are; true once in an interval.
+    bool takeQuestion(TimePoint now);
 
     /// When one of the decisions may change.
     TimePoint nextDeadline() const;
@@ -55,6 +71,7 @@
     Duration age(TimePoint now) const;
 
 private:
+    void learn(TimePoint now, const Endpoint &informant, quint64 revision, Duration age);
     void verifiedAt(TimePoint time);
 
     FreshnessGuardSettings m_settings;
@@ -64,8 +81,11 @@
     quint64 m_latestRevision = 0;
     TimePoint m_verifiedAt{};
     TimePoint m_verificationDeadline;
-    TimePoint m_readingDeadline = TimePoint::max();
+    TimePoint m_fetchDeadline = TimePoint::max();
+    TimePoint m_questionDeadline;
+    Endpoint m_informant;
     bool m_isVerifying = false;
+    bool m_isReader = false;
 };
 
 }
--- a/packages/stream/routetable.cpp
+++ b/packages/stream/routetable.cpp
@@ -32,6 +32,26 @@
     return found != m_services.end() ? &found->second : nullptr;
 }
 
+std::vector<Route> RouteTable::routes() const
+{
+    std::vector<Route> routes;
+    for (const auto &[address, route] : m_routes) {
+        routes.push_back(route);
+    }
+    std::ranges::sort(routes, {}, &Route::address);
+    return routes;
+}
+
+std::vector<StreamService> RouteTable::services() const
+{
+    std::vector<StreamService> services;
+    for (const auto &[id, service] : m_services) {
+        services.push_back(service);
+    }
+    std::ranges::sort(services, {}, &StreamService::id);
+    return services;
+}
+
 bool RouteTable::allows(const Endpoint &address, ServiceId service) const
 {
     const Route *route = findRoute(address);
--- a/packages/stream/routetable.h
+++ b/packages/stream/routetable.h
@@ -43,6 +43,12 @@
         return m_routes.size();
     }
 
+    /// All routes, ordered by address.
+    std::vector<Route> routes() const;
+
+    /// All services, ordered by identifier.
+    std::vector<StreamService> services() const;
+
     bool operator==(const RouteTable &) const = default;
 
 private:
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -2,7 +2,10 @@
 
 #include "core/assertion.h"
 
+#include "stream/directoryreaders.h"
+
 #include <algorithm>
+#include <set>
 
 namespace Rattanpick
 {
@@ -16,6 +19,8 @@
 constexpr quint32 acknowledgementWindow = 76'800;
 /// A balancer that has sent nothing for this long is told no load.
 constexpr Duration balancerMemory = 3s;
+/// A process that asks how fresh the directory is is told of news for this long; it asks more often.
+constexpr Duration followerMemory = 5s;
 /// How long openings are refused at most after a pause, while no reading of the directory ends.
 constexpr Duration pauseHold = 1s;
 
@@ -82,6 +87,7 @@
             resetAfterSearch(now, message.flow, {}, actions);
         }
     } else if (message.kind == StreamMessageKind::Ping) {
+        m_followers[message.sender] = now + followerMemory;
         actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::Load, {})});
     }
 }
@@ -133,6 +139,7 @@
     }
     m_loadDeadline = now + m_settings.loadInterval;
     std::erase_if(m_balancers, [now](const auto &item) { return now >= item.second; });
+    std::erase_if(m_followers, [now](const auto &item) { return now >= item.second; });
     for (const auto &[balancer, deadline] : m_balancers) {
         actions.emplace_back(SendStreamMessage{balancer, answer(now, StreamMessageKind::Load, {})});
     }
@@ -189,6 +196,48 @@
     return next;
 }
 
+void StreamAgent::onNews(TimePoint now, StreamActions &actions)
+{
+    if (!isReader()) {
+        return;
+    }
+    std::set<Endpoint> told;
+    for (const auto &[id, entry] : m_directory.entries()) {
+        if (entry.isPresent() && entry.target.dataCentre == m_settings.dataCentre && entry.agent != m_settings.endpoint) {
+            told.insert(entry.agent);
+        }
+    }
+    for (const auto &[peer, deadline] : m_followers) {
+        if (now < deadline) {
+            told.insert(peer);
+        }
+    }
+    for (const Endpoint &peer : told) {
+        actions.emplace_back(SendStreamMessage{peer, answer(now, StreamMessageKind::News, {})});
+    }
+}
+
+void StreamAgent::onStale(TimePoint now, StreamActions &actions)
+{
+    StreamMessage question = answer(now, StreamMessageKind::Ping, {});
+    for (const Endpoint &agent : DirectoryReaders::toAsk(m_directory, m_settings.dataCentre, m_nextQuestion++)) {
+        if (agent != m_settings.endpoint) {
+            actions.emplace_back(SendStreamMessage{agent, question});
+        }
+    }
+}
+
+bool StreamAgent::isReader()
+{
+    // A complete reading brings many changes; the election is held once after them.
+    if (m_readerGeneration != m_directory.generation()) {
+        m_readerGeneration = m_directory.generation();
+        const std::vector<Endpoint> readers = DirectoryReaders::ofDataCentre(m_directory, m_settings.dataCentre);
+        m_isReader = std::ranges::find(readers, m_settings.endpoint) != readers.end();
+    }
+    return m_isReader;
+}
+
 bool StreamAgent::isReady() const
 {
     return m_directory.routes() != nullptr && m_directory.isComplete();
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -37,6 +37,9 @@
     void beginStop(TimePoint now, StreamActions &actions) override;
     void onWithdrawn(TimePoint now) override;
     bool isStopped(TimePoint now) const override;
+    void onNews(TimePoint now, StreamActions &actions) override;
+    void onStale(TimePoint now, StreamActions &actions) override;
+    bool isReader() override;
     bool isReady() const override;
 
     // Target and state
@@ -108,6 +111,11 @@
     quint32 m_nextTag = 1;
     /// Balancers that have sent segments, and until when they are told the load.
     std::unordered_map<Endpoint, TimePoint> m_balancers;
+    /// Processes that ask this one how fresh the directory is, and until when they are told of news.
+    std::unordered_map<Endpoint, TimePoint> m_followers;
+    bool m_isReader = false;
+    quint64 m_readerGeneration = 0;
+    quint64 m_nextQuestion = 0;
     TimePoint m_loadDeadline;
     TimePoint m_adoptionDeadline;
     Incarnation m_targetIncarnation{};
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -1,5 +1,7 @@
 #include "stream/streambalancer.h"
 
+#include "stream/directoryreaders.h"
+
 #include <algorithm>
 
 namespace Rattanpick
@@ -155,6 +157,29 @@
     return m_stopDeadline && now >= *m_stopDeadline;
 }
 
+void StreamBalancer::onNews(TimePoint /*now*/, StreamActions & /*actions*/)
+{
+    // Agents learn it from the next message that carries a packet.
+}
+
+void StreamBalancer::onStale(TimePoint /*now*/, StreamActions &actions)
+{
+    StreamMessage question;
+    question.kind = StreamMessageKind::Ping;
+    question.sender = m_settings.endpoint;
+    question.balancer = m_settings.endpoint;
+    question.configurationVersion = m_directory.routes() != nullptr ? m_directory.routes()->version() : 0;
+    for (const Endpoint &agent : DirectoryReaders::toAsk(m_directory, m_settings.placement.dataCentre, m_nextQuestion++)) {
+        actions.emplace_back(SendStreamMessage{agent, question});
+    }
+}
+
+bool StreamBalancer::isReader()
+{
+    // Agents watch for balancers, whose machines are the smallest.
+    return false;
+}
+
 bool StreamBalancer::isReady() const
 {
     return m_directory.routes() != nullptr && m_directory.isComplete() && !m_stopDeadline;
--- a/packages/stream/streambalancer.h
+++ b/packages/stream/streambalancer.h
@@ -33,6 +33,9 @@
     void beginStop(TimePoint now, StreamActions &actions) override;
     void onWithdrawn(TimePoint now) override;
     bool isStopped(TimePoint now) const override;
+    void onNews(TimePoint now, StreamActions &actions) override;
+    void onStale(TimePoint now, StreamActions &actions) override;
+    bool isReader() override;
     bool isReady() const override;
 
     // State
@@ -88,6 +91,7 @@
     std::deque<std::pair<TimePoint, FlowKey>> m_expiries;
     TimePoint m_pingDeadline = TimePoint::max();
     std::optional<TimePoint> m_stopDeadline;
+    quint64 m_nextQuestion = 0;
     /// The latest version of the routes that any peer has in force.
     quint64 m_latestVersion = 0;
 };
--- a/packages/stream/streamdecisions.h
+++ b/packages/stream/streamdecisions.h
@@ -41,6 +41,15 @@
     /// Whether the planned stop may end.
     virtual bool isStopped(TimePoint now) const = 0;
 
+    /// The directory has reached a later revision: those who rely on this process are told.
+    virtual void onNews(TimePoint now, StreamActions &actions) = 0;
+
+    /// The directory has not been verified for a while: others are asked.
+    virtual void onStale(TimePoint now, StreamActions &actions) = 0;
+
+    /// Whether this process watches the directory source for others.
+    virtual bool isReader() = 0;
+
     /// Whether callers may be sent here.
     virtual bool isReady() const = 0;
 };
--- a/packages/stream/streammessage.h
+++ b/packages/stream/streammessage.h
@@ -31,8 +31,11 @@
     Ended = 7,
     /// The load of a target.
     Load = 8,
-    /// Asks the receiver for its load, to see whether it is there.
+    /// Asks the receiver for its load, to see whether it is there and how fresh its directory is. The receiver tells the
+    /// sender of news of the directory for a while.
     Ping = 9,
+    /// The sender's directory has reached a later revision, as the message says of itself.
+    News = 10,
 };
 
 /// A message between a balancer and the agents, or between two agents. Members that a kind does not need stay empty.
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -88,7 +88,7 @@
     StreamMessage message;
     stream >> mark >> message.kind >> message.hopCount >> message.configurationVersion >> message.directoryRevision >> message.verifiedMilliseconds
         >> message.sender >> message.balancer >> message.service >> message.target >> message.incarnation;
-    requireWire(stream, mark == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::Ping);
+    requireWire(stream, mark == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::News);
     if (namesFlow(message.kind)) {
         stream >> message.flow;
     }
--- a/packages/stream/streamprocesssettings.h
+++ b/packages/stream/streamprocesssettings.h
@@ -5,6 +5,7 @@
 #include "core/timepoint.h"
 #include "operators/daemonsettings.h"
 
+#include <QList>
 #include <QString>
 
 namespace Rattanpick
@@ -23,10 +24,14 @@
     Endpoint messages;
     /// Where the network asks whether callers may be sent here (HTTP).
     Endpoint ready;
-    /// Where measurements are served (HTTP).
+    /// Where measurements and the directory are served (HTTP). The port is the same for all processes.
     Endpoint metrics;
+    /// Where the directory is served to processes that know nobody else yet (HTTP); null for agents.
+    Endpoint control;
     /// Where targets, data centres and routes are published (HTTP).
     Endpoint directory;
+    /// Where other processes serve their directory, for a start while the source is away; some may be gone.
+    QList<Endpoint> seeds;
     /// Where the network delivers packets of callers to a balancer (UDP); it delivers to callers at the same port.
     Endpoint callers;
     /// Log lines below this level are left out.
--- a/packages/stream/streamprocesssettingsreader.cpp
+++ b/packages/stream/streamprocesssettingsreader.cpp
@@ -35,12 +35,15 @@
     settings.callers = values.endpoint(QStringLiteral("callers"));
     if (settings.role == DaemonRole::Agent) {
         settings.outbound = values.endpoint(QStringLiteral("outbound"));
+    } else {
+        settings.control = values.endpoint(QStringLiteral("control"));
     }
 }
 
 void readDirectory(SectionReader &values, StreamProcessSettings &settings)
 {
     settings.directory = values.endpoint(QStringLiteral("store"));
+    settings.seeds = values.endpoints(QStringLiteral("seeds"), false);
 }
 
 void readFlows(SectionReader &values, StreamProcessSettings &settings)
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -124,11 +124,12 @@
     }
     entry.revision = revision;
     ++m_generation;
-    if (isSettled(now) || entry.target.isDraining) {
+    if (entry.target.isDraining) {
         depart(now, entry);
         return;
     }
-    // Entries expire while the source is away although their targets live; those register again soon.
+    // Entries are also lost while their targets live: they expire while the source is away, or the source drops them.
+    // A living target registers again within the grace.
     entry.listing = Listing::Lapsed;
     entry.listingDeadline = std::max(m_settledDeadline, now + m_settings.returnGrace);
 }
--- a/packages/stream/targetdirectory.h
+++ b/packages/stream/targetdirectory.h
@@ -21,7 +21,7 @@
     /// How far the entry of a target can be trusted.
     enum class Listing : quint8 {
         Listed,
-        /// The entry vanished while the source was away; the target may be back in a moment.
+        /// The entry vanished without a drain; a target that lives registers again in a moment.
         Lapsed,
         /// The entry is gone; the machine is remembered, since flows may still end there.
         Departed,
--- a/packages/stream/targetdirectorysettings.h
+++ b/packages/stream/targetdirectorysettings.h
@@ -12,7 +12,7 @@
 {
     /// Port at which the agent on a target's machine receives messages; the same on all machines.
     quint16 agentPort = 0;
-    /// An entry that is missing this long after the source has returned belongs to a target that is gone.
+    /// An entry that is missing for this long, with the source there all the time, belongs to a target that is gone.
     Duration returnGrace = 2s;
     /// How long the machine of an unlisted target is remembered; longer than any flow lives.
     Duration departedMemory = 60s;
--- /dev/null
+++ b/tests/stream/directoryimagetest.cpp
@@ -0,0 +1,121 @@
+#include "streambench.h"
+
+#include <stream/directoryimage.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Rattanpick;
+using namespace StreamBench;
+
+namespace
+{
+
+/// What a directory believes, for comparison: names of present targets, data centres that are out, version of the routes.
+struct Belief
+{
+    std::vector<QString> targets;
+    bool isOut = false;
+    quint64 version = 0;
+
+    bool operator==(const Belief &) const = default;
+};
+
+Belief beliefOf(const TargetDirectory &directory)
+{
+    Belief belief;
+    for (const auto &[id, entry] : directory.entries()) {
+        if (entry.listing == TargetDirectory::Listing::Listed) {
+            belief.targets.push_back(entry.target.name);
+        }
+    }
+    belief.isOut = directory.isOut(QStringLiteral("dc1"));
+    belief.version = directory.routes() != nullptr ? directory.routes()->version() : 0;
+    return belief;
+}
+
+/// Target number @p index and its life are one name each, so that entries come and go.
+DirectoryChange randomChange(quint64 revision)
+{
+    const int index = *rc::gen::inRange(0, 6);
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+        return TargetListed{revision, target(index, 1, *rc::gen::arbitrary<bool>())};
+    case 1:
+        return TargetUnlisted{revision, target(index).name};
+    case 2:
+        return DataCentreSwitched{revision, QStringLiteral("dc1"), *rc::gen::arbitrary<bool>()};
+    default:
+        return RoutesPublished{revision, routes(revision)};
+    }
+}
+
+DirectoryBatch readingBatch(quint64 revision)
+{
+    DirectoryBatch batch{revision, reading({target(1), target(2)}, revision)};
+    std::erase_if(batch.changes, [](const DirectoryChange &change) { return std::holds_alternative<SourceSwitched>(change); });
+    return batch;
+}
+
+}
+
+// Guards against a peer that misses a removal or a change, whatever revision it had when it asked.
+RC_GTEST_PROP(DirectoryImageTest, PeersThatAskBelieveTheSame, ())
+{
+    DirectoryImage image;
+    TargetDirectory own({.agentPort = agentPort});
+    TargetDirectory peer({.agentPort = agentPort});
+    quint64 peerRevision = 0;
+    const auto take = [](TargetDirectory &directory, const DirectoryBatch &batch) {
+        for (const DirectoryChange &change : batch.changes) {
+            directory.apply(start, change);
+        }
+    };
+    const DirectoryBatch first = readingBatch(10);
+    image.apply(first);
+    take(own, first);
+    const int steps = *rc::gen::inRange(1, 30);
+    for (int step = 0; step < steps; ++step) {
+        const auto revision = static_cast<quint64>(11 + step);
+        const DirectoryBatch batch{revision, {randomChange(revision)}};
+        image.apply(batch);
+        take(own, batch);
+        if (*rc::gen::inRange(0, 3) == 0) {
+            const std::optional<DirectoryBatch> pulled = decodeDirectoryBatch(start, encodeDirectoryBatch(start, image.since(peerRevision)));
+            RC_ASSERT(pulled.has_value());
+            peerRevision = pulled->revision;
+            take(peer, *pulled);
+            RC_ASSERT(beliefOf(peer) == beliefOf(own));
+        }
+    }
+}
+
+// Guards against a peer that keeps what was removed before this process read anything.
+TEST(DirectoryImageTest, PeersFromBeforeTheFirstReadingGetEverything)
+{
+    DirectoryImage image;
+    image.apply(readingBatch(100));
+    const DirectoryBatch batch = image.since(50);
+    EXPECT_TRUE(std::holds_alternative<ReadingCompleted>(batch.changes.back()));
+    EXPECT_TRUE(image.since(100).changes.empty());
+}
+
+// Guards against a target that stays cold for ever, or not at all, at the peer: times are told as what remains of them.
+TEST(DirectoryImageTest, RemainingColdTimeIsTold)
+{
+    StreamTarget cold = target(1);
+    cold.coldDeadline = start + 2s;
+    const std::optional<DirectoryBatch> batch = decodeDirectoryBatch(start + 100s, encodeDirectoryBatch(start + 500ms, {7, {TargetListed{7, cold}}}));
+    ASSERT_TRUE(batch);
+    EXPECT_EQ(std::get<TargetListed>(batch->changes.front()).target.coldDeadline, start + 100s + 1500ms);
+}
+
+// Guards against a crash or made-up changes from a truncated answer.
+RC_GTEST_PROP(DirectoryImageTest, TruncatedBatchesAreRefused, ())
+{
+    DirectoryImage image;
+    image.apply(readingBatch(100));
+    const QByteArray bytes = encodeDirectoryBatch(start, image.since(0));
+    const qsizetype length = *rc::gen::inRange<qsizetype>(0, bytes.size());
+    RC_ASSERT(!decodeDirectoryBatch(start, QByteArrayView(bytes).first(length)).has_value());
+}
--- a/tests/stream/directorywatchertest.cpp
+++ b/tests/stream/directorywatchertest.cpp
@@ -20,6 +20,7 @@
 TEST(DirectoryWatcherTest, ReadsOnceThenWatches)
 {
     DirectoryWatcher watcher(DirectoryWatcherSettings{});
+    watcher.setReader(true);
     EXPECT_EQ(watcher.next(start).kind, SourceCall::Kind::ReadAll);
     watcher.onAnswer(start, read(41, 3));
     EXPECT_EQ(watcher.next(start + 100ms).kind, SourceCall::Kind::Wait);
@@ -34,6 +35,7 @@
 TEST(DirectoryWatcherTest, HistoryGoneLeadsToReading)
 {
     DirectoryWatcher watcher(DirectoryWatcherSettings{});
+    watcher.setReader(true);
     watcher.onAnswer(start, read(41));
     watcher.onAnswer(start + 1s, {SourceResult::HistoryGone, 0, {}, {}});
     EXPECT_EQ(watcher.next(start + 1s).kind, SourceCall::Kind::ReadAll);
@@ -43,6 +45,7 @@
 TEST(DirectoryWatcherTest, BacksOffWhileTheSourceFails)
 {
     DirectoryWatcher watcher(DirectoryWatcherSettings{});
+    watcher.setReader(true);
     TimePoint now = start;
     int calls = 0;
     while (now < start + 10s) {
@@ -67,9 +70,51 @@
 TEST(DirectoryWatcherTest, RevisionNeverFalls)
 {
     DirectoryWatcher watcher(DirectoryWatcherSettings{});
+    watcher.setReader(true);
     watcher.onAnswer(start, read(41));
     watcher.requestReading();
     EXPECT_EQ(watcher.next(start).kind, SourceCall::Kind::ReadAll);
     watcher.onAnswer(start, read(39));
     EXPECT_EQ(watcher.next(start).afterRevision, 41);
 }
+
+// Guards against a watch of every process: only readers watch, the others ask the peers that have news.
+TEST(DirectoryWatcherTest, OthersWaitForNews)
+{
+    DirectoryWatcher watcher(DirectoryWatcherSettings{});
+    watcher.onAnswer(start, read(41));
+    EXPECT_EQ(watcher.next(start + 10s).kind, SourceCall::Kind::Wait);
+    const Endpoint peer{0x0a010001, 7721};
+    watcher.requestPull(peer);
+    const SourceCall call = watcher.next(start + 10s);
+    EXPECT_EQ(call.kind, SourceCall::Kind::Pull);
+    EXPECT_EQ(call.peer, peer);
+    EXPECT_EQ(call.afterRevision, 41);
+    watcher.onPulled(start + 10s, 44);
+    EXPECT_EQ(watcher.next(start + 10s).kind, SourceCall::Kind::Wait);
+}
+
+// Guards against news that is lost with the peer that told of it.
+TEST(DirectoryWatcherTest, FailedPullLeadsToReading)
+{
+    DirectoryWatcher watcher(DirectoryWatcherSettings{});
+    watcher.onAnswer(start, read(41));
+    watcher.requestPull({0x0a010001, 7721});
+    watcher.onPulled(start + 10s, std::nullopt);
+    EXPECT_EQ(watcher.next(start + 10s).kind, SourceCall::Kind::ReadAll);
+}
+
+// Guards against a process that cannot start while the source is away although others know the directory.
+TEST(DirectoryWatcherTest, SeedsAreAskedWhileTheFirstReadingFails)
+{
+    DirectoryWatcher watcher(DirectoryWatcherSettings{});
+    const QList<Endpoint> seeds{{1, 1}, {2, 2}};
+    watcher.setSeeds(seeds);
+    for (const Endpoint &seed : {seeds.at(0), seeds.at(1), seeds.at(0)}) {
+        watcher.onAnswer(start, {SourceResult::Failed, 0, {}, {}});
+        const SourceCall call = watcher.next(start);
+        EXPECT_EQ(call.kind, SourceCall::Kind::Pull);
+        EXPECT_EQ(call.peer, seed);
+        watcher.onPulled(start, std::nullopt);
+    }
+}
