--- a/apps/rattanpickd/stream/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -144,7 +144,9 @@
 
 void StreamDuty::takeChanges(TimePoint now)
 {
+    bool hasChanged = false;
     while (const auto batch = m_context.changes.pop()) {
+        hasChanged = true;
         const bool isNews = (*batch)->revision > m_freshness.revision();
         m_freshness.onRevision(now, (*batch)->revision);
         judgeSource(now);
@@ -156,6 +158,9 @@
             m_decisions->onNews(now, m_actions);
         }
     }
+    if (hasChanged) {
+        m_freshness.setAlone(m_decisions->isAlone());
+    }
     if (m_context.isReader != m_decisions->isReader()) {
         m_context.isReader = m_decisions->isReader();
         m_freshness.setReader(m_context.isReader);
--- a/packages/stream/freshnessguard.cpp
+++ b/packages/stream/freshnessguard.cpp
@@ -103,14 +103,24 @@
     }
 }
 
+Duration FreshnessGuard::randomDuration(Duration from, Duration to)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(from.count(), to.count())(m_random));
+}
+
 void FreshnessGuard::verifiedAt(TimePoint time)
 {
     if (time <= m_verifiedAt) {
         return;
     }
     m_verifiedAt = time;
-    std::uniform_int_distribution<Duration::rep> spread(m_settings.minimumAge.count(), m_settings.maximumAge.count());
-    const Duration delay = Duration(spread(m_random)) + (m_isReader ? Duration::zero() : m_settings.otherDelay);
+    Duration delay = randomDuration(m_settings.minimumAge, m_settings.maximumAge);
+    if (!m_isReader) {
+        delay += m_settings.otherDelay;
+    }
+    if (m_isAlone) {
+        delay += randomDuration(Duration::zero(), m_settings.aloneDelay);
+    }
     m_verificationDeadline = std::max(m_verificationDeadline, time + delay);
     m_questionDeadline = std::max(m_questionDeadline, time + m_settings.staleAge);
 }
--- a/packages/stream/freshnessguard.h
+++ b/packages/stream/freshnessguard.h
@@ -39,6 +39,12 @@
         m_isReader = isReader;
     }
 
+    /// Whether this process knows nobody whom it could ask.
+    void setAlone(bool isAlone)
+    {
+        m_isAlone = isAlone;
+    }
+
     // Decisions
 
     /// Whether the source is to be asked for its revision now; true once for each verification.
@@ -73,6 +79,7 @@
 private:
     void learn(TimePoint now, const Endpoint &informant, quint64 revision, Duration age);
     void verifiedAt(TimePoint time);
+    Duration randomDuration(Duration from, Duration to);
 
     FreshnessGuardSettings m_settings;
     std::mt19937_64 m_random;
@@ -86,6 +93,7 @@
     Endpoint m_informant;
     bool m_isVerifying = false;
     bool m_isReader = false;
+    bool m_isAlone = true;
 };
 
 }
--- a/packages/stream/freshnessguardsettings.h
+++ b/packages/stream/freshnessguardsettings.h
@@ -17,6 +17,9 @@
     Duration maximumAge = 1300ms;
     /// How much later the other processes verify, so that they do only when no reader is heard.
     Duration otherDelay = 400ms;
+    /// At most how much later a process verifies that knows nobody to ask; at the first start of all, the few that come
+    /// first spread what they find.
+    Duration aloneDelay = 4s;
     /// Age at which a process asks others how fresh they are.
     Duration staleAge = 600ms;
     /// Time between two such questions.
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -238,6 +238,11 @@
     return m_isReader;
 }
 
+bool StreamAgent::isAlone() const
+{
+    return DirectoryReaders::toAsk(m_directory, m_settings.dataCentre, 0).empty();
+}
+
 bool StreamAgent::isReady() const
 {
     return m_directory.routes() != nullptr && m_directory.isComplete();
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -40,6 +40,7 @@
     void onNews(TimePoint now, StreamActions &actions) override;
     void onStale(TimePoint now, StreamActions &actions) override;
     bool isReader() override;
+    bool isAlone() const override;
     bool isReady() const override;
 
     // Target and state
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -180,6 +180,11 @@
     return false;
 }
 
+bool StreamBalancer::isAlone() const
+{
+    return DirectoryReaders::toAsk(m_directory, m_settings.placement.dataCentre, 0).empty();
+}
+
 bool StreamBalancer::isReady() const
 {
     return m_directory.routes() != nullptr && m_directory.isComplete() && !m_stopDeadline;
--- a/packages/stream/streamdecisions.h
+++ b/packages/stream/streamdecisions.h
@@ -50,6 +50,9 @@
     /// Whether this process watches the directory source for others.
     virtual bool isReader() = 0;
 
+    /// Whether no agent is known that could be asked.
+    virtual bool isAlone() const = 0;
+
     /// Whether callers may be sent here.
     virtual bool isReady() const = 0;
 };
--- a/tests/stream/freshnessguardtest.cpp
+++ b/tests/stream/freshnessguardtest.cpp
@@ -17,6 +17,7 @@
 {
     FreshnessGuard guard(FreshnessGuardSettings{}, start);
     guard.setReader(true);
+    guard.setAlone(false);
     guard.onRevision(start, revision);
     return guard;
 }
@@ -43,6 +44,7 @@
     settings.seed = *rc::gen::arbitrary<quint64>();
     FreshnessGuard guard(settings, start);
     guard.setReader(*rc::gen::arbitrary<bool>());
+    guard.setAlone(false);
     guard.onRevision(start, 12);
     const TimePoint change = start + std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
     TimePoint now = start;
