Log each decision about a flow within a budget, without blocking the packet path

Cause: on-call engineers have only logs and metrics; the logs named refusals and breaks only, and writing to standard output could block the duty that forwards packets.

Change: key=value lines for offers, unanswered offers, waits, passes, locations, openings, rebinds and resets, with the inputs that decided them; LogBudget bounds the lines of each level and counts what it suppresses; LogDuty writes in a thread of its own behind a bounded ring, to standard output. Messages carry the Lamport clock, so that the events of all processes have one causal order.

--- /dev/null
+++ b/apps/rattanpickd/stream/logduty.cpp
@@ -0,0 +1,61 @@
+#include "rattanpickd/stream/logduty.h"
+
+#include "core/eventlog.h"
+
+#include <QDateTime>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// Lines are written in groups: each wake-up costs more than a line.
+constexpr Duration groupTime = 50ms;
+constexpr Duration waitLimit = 10s;
+
+}
+
+LogDuty::LogDuty(const QString &process)
+    : m_process(process)
+{
+}
+
+void LogDuty::push(const Event &event)
+{
+    if (m_events.push(event)) {
+        m_wakeup.notify();
+    }
+}
+
+void LogDuty::run()
+{
+    Wakeup pause;
+    std::size_t told = 0;
+    while (true) {
+        m_wakeup.arm();
+        const bool isEnding = m_isEnding;
+        while (const std::optional<Event> event = m_events.pop()) {
+            writeEvent(*event);
+        }
+        if (const std::size_t dropped = m_events.dropped(); dropped > told) {
+            writeEvent({EventNumber::RingFull, m_process, 0, QDateTime::currentMSecsSinceEpoch(), {}, 0, QStringLiteral("%1 log lines").arg(dropped - told)});
+            told = dropped;
+        }
+        if (isEnding) {
+            return;
+        }
+        m_wakeup.wait(waitLimit);
+        if (!m_isEnding) {
+            pause.wait(groupTime);
+        }
+    }
+}
+
+void LogDuty::end()
+{
+    m_isEnding = true;
+    m_wakeup.notify();
+}
+
+}
--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -1,6 +1,7 @@
 #include "rattanpickd/stream/streamdaemon.h"
 
 #include "rattanpickd/stream/directoryduty.h"
+#include "rattanpickd/stream/logduty.h"
 #include "rattanpickd/stream/streamcontext.h"
 #include "rattanpickd/stream/streamduty.h"
 #include "rattanpickd/stream/verificationduty.h"
@@ -28,6 +29,8 @@
 
 constexpr int usageError = 2;
 constexpr unsigned okStatus = 200;
+/// Some minutes of a process's events; each takes some 300 bytes, and memory is what a small process has least of.
+constexpr std::size_t keptEvents = 1000;
 constexpr unsigned unavailableStatus = 503;
 
 /// The context of the process; for the signal handler alone.
@@ -84,11 +87,23 @@
     StoreSource source(settings->directory);
     EventLogSettings logSettings;
     logSettings.process = settings->name;
+    logSettings.eventsKept = keptEvents;
+    logSettings.budget = LogBudget();
+    LogDuty logs(settings->name);
+    logSettings.sink = [&logs](const Event &event) {
+        logs.push(event);
+    };
+    std::thread logThread([&logs] { logs.run(); });
     StreamContext context(*settings, logSettings, format, source);
     StreamDuty packets(context);
-    if (!packets.bind()) {
-        std::fprintf(stderr, "rattanpickd: %s\n", qPrintable(packets.lastError()));
+    const auto fail = [&logs, &logThread](const QString &error) {
+        std::fprintf(stderr, "rattanpickd: %s\n", qPrintable(error));
+        logs.end();
+        logThread.join();
         return 1;
+    };
+    if (!packets.bind()) {
+        return fail(packets.lastError());
     }
     handleStopSignals(context);
 
@@ -119,8 +134,7 @@
     }
     for (HttpServer *server : servers) {
         if (!server->start()) {
-            std::fprintf(stderr, "rattanpickd: %s\n", qPrintable(server->lastError()));
-            return 1;
+            return fail(server->lastError());
         }
     }
     context.log.record(EventNumber::ProcessStarted, options.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent"));
@@ -141,6 +155,8 @@
     for (HttpServer *server : servers) {
         server->stop();
     }
+    logs.end();
+    logThread.join();
     // On the platform, the static destructor of log4cplus waited for its worker threads until the process was killed.
     std::quick_exit(0);
 }
--- a/apps/rattanpickd/stream/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -254,6 +254,7 @@
             m_malformedMessages.add();
             continue;
         }
+        m_context.log.merge(message->lamport);
         m_freshness.onPeer(now, message->sender, message->directoryRevision, std::chrono::milliseconds(message->verifiedMilliseconds));
         m_decisions->onMessage(now, *message, m_actions);
         carryOut(now);
@@ -295,6 +296,7 @@
     }
     StreamMessage message = action.message;
     message.directoryRevision = m_freshness.revision();
+    message.lamport = m_context.log.tick();
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_freshness.age(now)).count();
     message.verifiedMilliseconds = static_cast<quint16>(std::min<std::int64_t>(age, std::numeric_limits<quint16>::max()));
     return m_messages.send(action.to, encodeStreamMessage(message));
--- a/packages/core/eventlog.cpp
+++ b/packages/core/eventlog.cpp
@@ -22,7 +22,9 @@
     return levels.at(static_cast<std::size_t>(level));
 }
 
-void writeToLogger(const Event &event)
+}
+
+void writeEvent(const Event &event)
 {
     static const log4cplus::Logger logger = log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("rattanpick.event"));
     const log4cplus::LogLevel level = logLevelOf(eventLevel(event.number));
@@ -33,8 +35,6 @@
     logger.forcedLog(level, event.toJson().toStdString(), __FILE__, __LINE__);
 }
 
-}
-
 EventLog::EventLog(const EventLogSettings &settings)
     : m_settings(settings)
 {
@@ -49,20 +49,43 @@
 Event EventLog::record(EventNumber number, const QString &detail, const QString &flow, quint64 request)
 {
     Event event{number, m_settings.process, 0, m_settings.wallClock(), flow, request, detail};
-    {
-        const std::scoped_lock lock(m_mutex);
-        // The clock ticks under the lock so that the kept events are ordered by it.
-        event.lamport = m_clock.tick();
-        if (m_events.size() == m_settings.eventsKept) {
-            m_events.pop_front();
-            ++m_overwritten;
+    // Events are kept and written under one lock: the clock orders them, and a sink has one caller at a time.
+    const std::scoped_lock lock(m_mutex);
+    keep(event);
+    const TimePoint now = Clock::now();
+    if (m_settings.budget && !m_settings.budget->take(now, number)) {
+        return event;
+    }
+    write(event);
+    if (m_settings.budget) {
+        if (const std::optional<QString> suppressed = m_settings.budget->takeSuppressed(now)) {
+            Event summary{EventNumber::LinesSuppressed, m_settings.process, 0, event.wallMilliseconds, {}, 0, *suppressed};
+            keep(summary);
+            write(summary);
         }
-        m_events.push_back(event);
     }
-    writeToLogger(event);
     return event;
 }
 
+void EventLog::keep(Event &event)
+{
+    event.lamport = m_clock.tick();
+    if (m_events.size() == m_settings.eventsKept) {
+        m_events.pop_front();
+        ++m_overwritten;
+    }
+    m_events.push_back(event);
+}
+
+void EventLog::write(const Event &event)
+{
+    if (m_settings.sink) {
+        m_settings.sink(event);
+    } else {
+        writeEvent(event);
+    }
+}
+
 QList<Event> EventLog::eventsSince(quint64 lamport) const
 {
     const std::scoped_lock lock(m_mutex);
--- a/packages/core/eventlog.h
+++ b/packages/core/eventlog.h
@@ -12,6 +12,9 @@
 namespace Rattanpick
 {
 
+/// Writes an event to the logger "rattanpick.event" as one line of JSON, if its level is written at all.
+void writeEvent(const Event &event);
+
 /// The latest events of this process and its Lamport clock; safe to use from any thread.
 ///
 /// Each event is written to the logger "rattanpick.event" too, as one line of JSON.
@@ -53,6 +56,9 @@
     quint64 overwritten() const;
 
 private:
+    void keep(Event &event);
+    void write(const Event &event);
+
     EventLogSettings m_settings;
     LamportClock m_clock;
     mutable std::mutex m_mutex;
--- a/packages/core/eventlogsettings.h
+++ b/packages/core/eventlogsettings.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "core/logbudget.h"
+
 #include <QString>
 
 #include <cstddef>
 #include <functional>
+#include <optional>
 
 namespace Rattanpick
 {
@@ -16,7 +19,11 @@
     /// Events kept in memory, at least 1.
     std::size_t eventsKept = 10000;
     /// Wall clock in milliseconds since 1970; the system's clock if empty.
-    std::function<qint64()> wallClock;
+    std::function<qint64()> wallClock = {};
+    /// Takes the events to be written, one at a time; the logger "rattanpick.event" if empty. It must not block.
+    std::function<void(const Event &)> sink = {};
+    /// Bounds what is written; no bound if empty. All events are kept in memory.
+    std::optional<LogBudget> budget = {};
 };
 
 }
--- a/packages/core/logging.cpp
+++ b/packages/core/logging.cpp
@@ -13,9 +13,9 @@
 namespace
 {
 
-void addConsoleAppender(log4cplus::Logger logger, const char *pattern)
+void addConsoleAppender(log4cplus::Logger logger, const char *pattern, LogStream stream)
 {
-    constexpr bool toStandardError = true;
+    const bool toStandardError = stream == LogStream::StandardError;
     constexpr bool flushEachLine = true;
     log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
@@ -25,16 +25,16 @@
 
 }
 
-void setUpLogging(EventLevel level)
+void setUpLogging(EventLevel level, LogStream stream)
 {
     constexpr std::array levels{log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL, log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.setLogLevel(levels.at(static_cast<std::size_t>(level)));
-    addConsoleAppender(root, "%D{%Y-%m-%dT%H:%M:%S.%q} %p %c %m%n");
+    addConsoleAppender(root, "%D{%Y-%m-%dT%H:%M:%S.%q} %p %c %m%n", stream);
 
     log4cplus::Logger events = log4cplus::Logger::getInstance("rattanpick.event");
     events.setAdditivity(false);
-    addConsoleAppender(events, "%m%n");
+    addConsoleAppender(events, "%m%n", stream);
 }
 
 }
--- a/packages/core/logging.h
+++ b/packages/core/logging.h
@@ -5,10 +5,16 @@
 namespace Rattanpick
 {
 
-/// Sends all log lines of at least @p level to standard error; call once at the start of a program.
+/// Where log lines go.
+enum class LogStream : quint8 {
+    StandardOutput,
+    StandardError,
+};
+
+/// Sends all log lines of at least @p level to the stream; call once at the start of a program.
 ///
 /// Lines of events are plain JSON, so that a saved log can be read as a file of events; other lines start with
 /// time, level and logger.
-void setUpLogging(EventLevel level);
+void setUpLogging(EventLevel level, LogStream stream = LogStream::StandardOutput);
 
 }
--- a/packages/stream/flowsearch.cpp
+++ b/packages/stream/flowsearch.cpp
@@ -103,7 +103,7 @@
             silent.append(entry != nullptr ? entry->target.name : QStringLiteral("?"));
         }
         const QString reason =
-            silent.isEmpty() ? QStringLiteral("the directory is not settled") : QStringLiteral("no answer from ") + silent.join(QLatin1Char(' '));
+            silent.isEmpty() ? QStringLiteral("reason=directory-unsettled") : QStringLiteral("reason=no-answer targets=") + silent.join(QLatin1Char(','));
         actions.emplace_back(RecordStreamEvent{EventNumber::FlowSearchFailed, found->first, reason});
         m_searches.erase(found);
     }
--- a/packages/stream/openingfence.cpp
+++ b/packages/stream/openingfence.cpp
@@ -19,10 +19,10 @@
 {
     static constexpr std::array<const char *, static_cast<std::size_t>(OpeningRefusal::Count)> names{
         "none",
-        "wrong service",
-        "no route",
+        "wrong-service",
+        "no-route",
         "draining",
-        "data centre out",
+        "data-centre-out",
         "cold",
         "stopping",
         "outdated",
--- a/packages/stream/placement.cpp
+++ b/packages/stream/placement.cpp
@@ -34,6 +34,7 @@
 {
     State &state = m_states[target];
     state.load = load;
+    state.loadAt = now;
     state.loadDeadline = now + m_settings.loadMemory;
     state.offered = 0;
 }
@@ -97,6 +98,19 @@
     return ordered;
 }
 
+QString Placement::describe(TimePoint now, TargetId target) const
+{
+    const State *state = stateOf(target);
+    if (state == nullptr || state->loadAt == TimePoint{}) {
+        return QStringLiteral("load=unknown");
+    }
+    return QStringLiteral("in-progress=%1 offered=%2 service-us=%3 load-age-ms=%4")
+        .arg(state->load.requestsInProgress)
+        .arg(state->offered)
+        .arg(state->load.serviceMicroseconds)
+        .arg(std::chrono::duration_cast<std::chrono::milliseconds>(now - state->loadAt).count());
+}
+
 bool Placement::isSuspected(TimePoint now, TargetId target) const
 {
     const State *state = stateOf(target);
--- a/packages/stream/placement.h
+++ b/packages/stream/placement.h
@@ -37,6 +37,9 @@
     /// At most @p limit targets of the service for a new flow, the best first; empty if none may take it.
     std::vector<TargetId> order(TimePoint now, const TargetDirectory &directory, ServiceId service, const FlowKey &flow, std::size_t limit) const;
 
+    /// What the placement knows of the target, for logs.
+    QString describe(TimePoint now, TargetId target) const;
+
     /// Whether the target has not answered lately.
     bool isSuspected(TimePoint now, TargetId target) const;
 
@@ -51,6 +54,7 @@
     {
         LoadReport load;
         TimePoint loadDeadline{};
+        TimePoint loadAt{};
         /// Flows offered since the load was told.
         quint32 offered = 0;
         TimePoint heardAt{};
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -181,7 +181,7 @@
     }
     // Callers that are told at once can repeat their requests elsewhere within their deadlines.
     for (const FlowKey &key : keys) {
-        breakFlow(now, key, m_flows[key], QStringLiteral("its target has ended"), actions);
+        breakFlow(now, key, m_flows[key], QStringLiteral("reason=target-ended"), actions);
     }
 }
 
@@ -361,14 +361,14 @@
         }
         // The target held this flow and no longer does.
         flow->callerAcknowledgement = segment.acknowledgement;
-        breakFlow(now, key, *flow, QStringLiteral("its target no longer holds it"), actions);
+        breakFlow(now, key, *flow, QStringLiteral("reason=target-bounced"), actions);
         return;
     }
     const StreamMessage message = delivery.message;
     forget(now, key);
     switch (message.kind) {
     case StreamMessageKind::Opening:
-        passOpeningOn(message, key, QStringLiteral("the target cannot accept it"), actions);
+        passOpeningOn(message, key, QStringLiteral("target-bounced"), actions);
         break;
     case StreamMessageKind::Deliver:
         denyFlow(now, key, message, actions);
@@ -392,10 +392,13 @@
         flow.hasTargetSequence = true;
         if (flow.state == HeldFlow::State::Offered) {
             flow.state = HeldFlow::State::Answered;
+            actions.emplace_back(
+                RecordStreamEvent{EventNumber::FlowOpened, key, QStringLiteral("in-progress=%1 flows=%2").arg(m_meter.inProgress()).arg(m_flows.size())});
         }
         actions.emplace_back(SendStreamMessage{flow.balancer, answer(now, StreamMessageKind::Held, key)});
     } else if (flow.state == HeldFlow::State::Assumed) {
         flow.state = HeldFlow::State::Open;
+        actions.emplace_back(RecordStreamEvent{EventNumber::FlowRebound, key, QStringLiteral("reason=target-answered")});
         StreamMessage held = answer(now, StreamMessageKind::Held, key);
         m_search.end(key);
         if (!flow.searcher.isNull()) {
@@ -441,9 +444,19 @@
     const int priority = route != nullptr ? route->priority : 0;
     if (expectedWait(priority) > limit) {
         // Its turn would come too late; another target may still be in time.
-        passOpeningOn(message, key, QStringLiteral("the target is overloaded"), actions);
+        passOpeningOn(message,
+                      key,
+                      QStringLiteral("overload expected-wait-ms=%1").arg(std::chrono::duration_cast<std::chrono::milliseconds>(expectedWait(priority)).count()),
+                      actions);
         return;
     }
+    actions.emplace_back(RecordStreamEvent{EventNumber::FlowWaiting,
+                                           key,
+                                           QStringLiteral("ahead=%1 in-progress=%2 expected-wait-ms=%3 priority=%4")
+                                               .arg(m_queue.countAhead(priority))
+                                               .arg(m_meter.inProgress())
+                                               .arg(std::chrono::duration_cast<std::chrono::milliseconds>(expectedWait(priority)).count())
+                                               .arg(priority)});
     m_queue.add({key, message, priority, now + m_settings.waitPatience, now + limit});
     actions.emplace_back(SendStreamMessage{message.balancer, answer(now, StreamMessageKind::Waiting, key)});
 }
@@ -451,7 +464,7 @@
 void StreamAgent::releaseWaiting(TimePoint now, StreamActions &actions)
 {
     for (const OpeningQueue::Entry &entry : m_queue.takeExpired(now)) {
-        passOpeningOn(entry.message, entry.flow, QStringLiteral("the target had no room in time"), actions);
+        passOpeningOn(entry.message, entry.flow, QStringLiteral("no-room-in-time"), actions);
     }
     while (m_queue.size() > 0 && hasRoom()) {
         const OpeningQueue::Entry entry = *m_queue.take(now);
@@ -502,6 +515,8 @@
         passed.service = next->target.service;
         passed.sender = m_settings.endpoint;
         const Endpoint to = next->agent;
+        actions.emplace_back(
+            RecordStreamEvent{EventNumber::FlowPassedOn, key, QStringLiteral("reason=%1 next=%2 hop=%3").arg(reason, next->target.name).arg(passed.hopCount)});
         actions.emplace_back(SendStreamMessage{to, std::move(passed)});
         return;
     }
@@ -512,7 +527,7 @@
     ended.sender = m_settings.endpoint;
     ended.flow = key;
     actions.emplace_back(SendStreamMessage{message.balancer, std::move(ended)});
-    actions.emplace_back(RecordStreamEvent{EventNumber::FlowRefused, key, reason});
+    actions.emplace_back(RecordStreamEvent{EventNumber::FlowRefused, key, QStringLiteral("reason=%1 hop=%2").arg(reason).arg(message.hopCount)});
 }
 
 void StreamAgent::deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions)
@@ -601,7 +616,7 @@
 {
     const std::optional<Segment> segment = m_format.decode(packet.isEmpty() ? m_search.packetOf(key) : packet);
     actions.emplace_back(SendToStreamCaller{key.caller, m_format.reset(key, segment ? segment->acknowledgement : 0)});
-    actions.emplace_back(RecordStreamEvent{EventNumber::FlowBroken, key, QStringLiteral("no target holds it")});
+    actions.emplace_back(RecordStreamEvent{EventNumber::FlowBroken, key, QStringLiteral("reason=held-by-no-target")});
     m_search.end(key);
 }
 
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -41,7 +41,11 @@
     if (route == nullptr) {
         // While a peer has later routes, the address may be one of them, and a refusal would not be true.
         if (!segment->has(RstFlag) && m_latestVersion <= m_directory.routes()->version()) {
-            reset(key, segment->acknowledgement, QStringLiteral("no route"), EventNumber::FlowRefused, actions);
+            reset(key,
+                  segment->acknowledgement,
+                  QStringLiteral("reason=no-route routes=%1").arg(m_directory.routes()->version()),
+                  EventNumber::FlowRefused,
+                  actions);
         }
         m_flows.erase(key);
         return;
@@ -141,6 +145,8 @@
         return false;
     }
     m_placement.onUnanswered(now, flow.target);
+    actions.emplace_back(
+        RecordStreamEvent{EventNumber::OfferUnanswered, key, QStringLiteral("target=%1 offer=%2").arg(targetName(flow.target)).arg(flow.offers)});
     m_pingDeadline = now;
     if (flow.offers < m_settings.offerAttempts) {
         offerNext(now, key, flow, actions);
@@ -276,7 +282,7 @@
     Flow &flow = found->second;
     if (isGone(now, flow)) {
         if (!segment.has(RstFlag)) {
-            reset(key, segment.acknowledgement, QStringLiteral("its target is gone"), EventNumber::FlowBroken, actions);
+            reset(key, segment.acknowledgement, QStringLiteral("reason=target-gone target=%1").arg(targetName(flow.target)), EventNumber::FlowBroken, actions);
         }
         m_flows.erase(found);
         return;
@@ -322,7 +328,7 @@
 void StreamBalancer::offerNext(TimePoint now, const FlowKey &key, Flow &flow, StreamActions &actions)
 {
     if (flow.candidates.empty()) {
-        reset(key, 0, QStringLiteral("no target takes flows"), EventNumber::FlowRefused, actions);
+        reset(key, 0, QStringLiteral("reason=no-target-takes-flows routes=%1").arg(m_directory.routes()->version()), EventNumber::FlowRefused, actions);
         m_flows.erase(key);
         return;
     }
@@ -339,6 +345,14 @@
     StreamMessage message = messageTo(StreamMessageKind::Opening, *entry);
     message.candidates.assign(flow.candidates.begin() + static_cast<std::ptrdiff_t>(index) + 1, flow.candidates.end());
     message.packet = flow.opening;
+    actions.emplace_back(RecordStreamEvent{EventNumber::FlowOffered,
+                                           key,
+                                           QStringLiteral("target=%1 offer=%2 candidates-left=%3 %4 routes=%5")
+                                               .arg(entry->target.name)
+                                               .arg(flow.offers)
+                                               .arg(flow.candidates.size() - index - 1)
+                                               .arg(m_placement.describe(now, flow.target))
+                                               .arg(m_directory.routes()->version())});
     m_placement.onOffered(now, flow.target);
     m_offers.emplace_back(now + m_settings.offerTimeout, key);
     actions.emplace_back(SendStreamMessage{entry->agent, std::move(message)});
@@ -369,12 +383,19 @@
     }
     ++flow.searches;
     flow.finder = best->target.id;
+    actions.emplace_back(RecordStreamEvent{EventNumber::FlowLocated, key, QStringLiteral("finder=%1 search=%2").arg(best->target.name).arg(flow.searches)});
     StreamMessage message = messageTo(StreamMessageKind::Locate, *best);
     message.packet = flow.locatedPacket;
     m_offers.emplace_back(now + m_settings.offerTimeout, key);
     actions.emplace_back(SendStreamMessage{best->agent, std::move(message)});
 }
 
+QString StreamBalancer::targetName(TargetId target) const
+{
+    const TargetDirectory::Entry *entry = m_directory.find(target);
+    return entry != nullptr ? entry->target.name : QStringLiteral("unknown");
+}
+
 bool StreamBalancer::isGone(TimePoint now, const Flow &flow) const
 {
     const bool isPresent =
--- a/packages/stream/streambalancer.h
+++ b/packages/stream/streambalancer.h
@@ -86,6 +86,7 @@
     void locate(TimePoint now, const FlowKey &key, Flow &flow, StreamActions &actions);
     bool retryOffer(TimePoint now, TimePoint deadline, const FlowKey &key, Flow &flow, StreamActions &actions);
     bool retrySearch(TimePoint now, TimePoint deadline, const FlowKey &key, Flow &flow, StreamActions &actions);
+    QString targetName(TargetId target) const;
     bool isGone(TimePoint now, const Flow &flow) const;
     void reset(const FlowKey &key, quint32 sequence, const QString &reason, EventNumber number, StreamActions &actions) const;
     StreamMessage messageTo(StreamMessageKind kind, const TargetDirectory::Entry &entry) const;
--- a/packages/stream/streammessage.h
+++ b/packages/stream/streammessage.h
@@ -52,6 +52,8 @@
     quint64 directoryRevision = 0;
     /// How long ago that revision was known to be the latest, in milliseconds; 65,535 stands for longer.
     quint16 verifiedMilliseconds = 0;
+    /// Lamport clock of the sender; orders the events of all processes.
+    quint64 lamport = 0;
     /// The process that sent the message.
     Endpoint sender;
     /// The balancer that took the segment from its caller; it learns where the flow is.
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -62,7 +62,7 @@
     QDataStream stream(&datagram, QIODevice::WriteOnly);
     stream.setVersion(wireVersion);
     stream << magic << message.kind << message.hopCount << message.configurationVersion << message.directoryRevision << message.verifiedMilliseconds
-           << message.sender << message.balancer << message.service << message.target << message.incarnation;
+           << message.lamport << message.sender << message.balancer << message.service << message.target << message.incarnation;
     if (namesFlow(message.kind)) {
         stream << message.flow;
     }
@@ -87,7 +87,7 @@
     quint8 mark = 0;
     StreamMessage message;
     stream >> mark >> message.kind >> message.hopCount >> message.configurationVersion >> message.directoryRevision >> message.verifiedMilliseconds
-        >> message.sender >> message.balancer >> message.service >> message.target >> message.incarnation;
+        >> message.lamport >> message.sender >> message.balancer >> message.service >> message.target >> message.incarnation;
     requireWire(stream, mark == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::Waiting);
     if (namesFlow(message.kind)) {
         stream >> message.flow;
