Start from seeds while the store is silent; serve metrics; take over changed settings; mend a starving queue

A restarted agent counted repeated requests whose answers had passed before, and openings waited behind them. The test for it failed first.

Ruled out: load (the targets were idle), the seeds (the processes had the directory within 0.4 s).

Change: a process that knows nothing gives the store 350 ms and then asks a seed; what a peer told does not count as verified. A request counts as in progress for 8 service times at most. One HTTP server serves readiness, metrics in the exposition format (counters of every decision, histograms of openings, requests and waits) and the directory. SettingsDuty takes over seeds and log level of a changed file and reports what waits for a restart; a file with findings changes nothing.

--- a/apps/rattanpickd/stream/directoryduty.cpp
+++ b/apps/rattanpickd/stream/directoryduty.cpp
@@ -40,6 +40,9 @@
         while (const std::optional<Endpoint> informant = m_context.informants.pop()) {
             m_watcher.requestPull(*informant);
         }
+        while (const auto seeds = m_context.seeds.pop()) {
+            m_watcher.setSeeds(**seeds);
+        }
         m_watcher.setReader(m_context.isReader);
         const TimePoint now = Clock::now();
         const SourceCall call = m_watcher.next(now);
@@ -120,7 +123,7 @@
 {
     m_watcher.onAnswer(now, answer);
     const bool isAvailable = answer.result != SourceResult::Failed;
-    DirectoryBatch batch{answer.revision, std::move(answer.changes)};
+    DirectoryBatch batch{answer.revision, std::move(answer.changes), isAvailable};
     if (m_isAvailable != isAvailable) {
         m_isAvailable = isAvailable;
         m_context.log.record(isAvailable ? EventNumber::PlatformReturned : EventNumber::PlatformUnavailable, answer.remark);
--- /dev/null
+++ b/apps/rattanpickd/stream/settingsduty.cpp
@@ -0,0 +1,57 @@
+#include "rattanpickd/stream/settingsduty.h"
+
+#include "core/logging.h"
+
+#include <QFile>
+
+namespace Rattanpick
+{
+
+namespace
+{
+
+/// The file may change without a signal; its changes bind within seconds at the earliest.
+constexpr Duration lookInterval = 1s;
+
+}
+
+SettingsDuty::SettingsDuty(StreamContext &context, const QString &file, const QByteArray &text)
+    : m_context(context)
+    , m_file(file)
+    , m_reload(file, context.settings, text)
+{
+}
+
+void SettingsDuty::run()
+{
+    while (!m_context.isEnding) {
+        m_context.settingsWakeup.arm();
+        if (!m_context.isEnding) {
+            m_context.settingsWakeup.wait(lookInterval);
+        }
+        look();
+    }
+}
+
+void SettingsDuty::look()
+{
+    QFile file(m_file);
+    // A file that is being replaced is looked at again in a moment.
+    if (!file.open(QIODevice::ReadOnly)) {
+        return;
+    }
+    const std::optional<ReloadedSettings> reloaded = m_reload.offer(file.readAll());
+    for (const Finding &finding : m_reload.findings()) {
+        m_context.log.record(EventNumber::SettingsReloaded, QStringLiteral("refused: ") + finding.toString());
+    }
+    if (!reloaded) {
+        return;
+    }
+    setLogLevel(reloaded->settings.logLevel);
+    m_context.seeds.push(std::make_shared<const QList<Endpoint>>(reloaded->settings.seeds));
+    m_context.directoryWakeup.notify();
+    m_context.log.record(EventNumber::SettingsReloaded,
+                         QStringLiteral("taken=%1 at-next-start=%2").arg(reloaded->taken.join(QLatin1Char(',')), reloaded->waiting.join(QLatin1Char(','))));
+}
+
+}
--- a/apps/rattanpickd/stream/streamcontext.h
+++ b/apps/rattanpickd/stream/streamcontext.h
@@ -55,6 +55,7 @@
     Wakeup packetWakeup;
     Wakeup directoryWakeup;
     Wakeup verificationWakeup;
+    Wakeup settingsWakeup;
 
     /// Whether callers may be sent here; the packet duty sets it.
     std::atomic<bool> isReady = false;
@@ -68,6 +69,8 @@
     std::atomic<bool> isReader = false;
     /// Peers that the directory duty is to ask for what they know.
     BoundedRing<Endpoint> informants{changeRingSize};
+    /// Seeds of changed settings, from the settings duty to the directory duty.
+    BoundedRing<std::shared_ptr<const QList<Endpoint>>> seeds{changeRingSize};
     /// The verification duty is to ask the source for its revision.
     std::atomic<bool> isVerificationWanted = false;
     /// Set when all duties shall end.
--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanpickd/stream/directoryduty.h"
 #include "rattanpickd/stream/logduty.h"
+#include "rattanpickd/stream/settingsduty.h"
 #include "rattanpickd/stream/streamcontext.h"
 #include "rattanpickd/stream/streamduty.h"
 #include "rattanpickd/stream/verificationduty.h"
@@ -15,7 +16,6 @@
 #include <platform/storesource.h>
 
 #include <QFile>
-#include <QJsonDocument>
 
 #include <csignal>
 #include <cstdio>
@@ -29,6 +29,9 @@
 
 constexpr int usageError = 2;
 constexpr unsigned okStatus = 200;
+constexpr char textType[] = "text/plain; charset=utf-8";
+/// The exposition format names its version.
+constexpr char metricsType[] = "text/plain; version=0.0.4; charset=utf-8";
 /// Some minutes of a process's events; each takes some 300 bytes, and memory is what a small process has least of.
 constexpr std::size_t keptEvents = 1000;
 constexpr unsigned unavailableStatus = 503;
@@ -42,15 +45,25 @@
     signalledContext->packetWakeup.notifyFromSignal();
 }
 
-std::optional<StreamProcessSettings> readSettings(const QString &name, DaemonRole role)
+void onReloadSignal(int /*signal*/)
+{
+    signalledContext->settingsWakeup.notifyFromSignal();
+}
+
+std::optional<QByteArray> readFile(const QString &name)
 {
     QFile file(name);
     if (!file.open(QIODevice::ReadOnly)) {
         std::fprintf(stderr, "rattanpickd: cannot read %s: %s\n", qPrintable(name), qPrintable(file.errorString()));
         return std::nullopt;
     }
+    return file.readAll();
+}
+
+std::optional<StreamProcessSettings> readSettings(const QString &name, const QByteArray &text, DaemonRole role)
+{
     StreamProcessSettingsReader reader(name);
-    const std::optional<StreamProcessSettings> settings = reader.read(file.readAll());
+    const std::optional<StreamProcessSettings> settings = reader.read(text);
     for (const Finding &finding : reader.findings()) {
         std::fprintf(stderr, "%s\n", qPrintable(finding.toString()));
     }
@@ -61,13 +74,15 @@
     return settings;
 }
 
-void handleStopSignals(StreamContext &context)
+void handleSignals(StreamContext &context)
 {
     signalledContext = &context;
     struct sigaction action = {};
     action.sa_handler = onStopSignal;
     sigaction(SIGTERM, &action, nullptr);
     sigaction(SIGINT, &action, nullptr);
+    action.sa_handler = onReloadSignal;
+    sigaction(SIGHUP, &action, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 }
 
@@ -75,7 +90,8 @@
 
 int runStreamDaemon(const StreamDaemonOptions &options)
 {
-    const std::optional<StreamProcessSettings> settings = readSettings(options.settingsFile, options.role);
+    const std::optional<QByteArray> text = readFile(options.settingsFile);
+    const std::optional<StreamProcessSettings> settings = text ? readSettings(options.settingsFile, *text, options.role) : std::nullopt;
     if (!settings) {
         return usageError;
     }
@@ -105,43 +121,36 @@
     if (!packets.bind()) {
         return fail(packets.lastError());
     }
-    handleStopSignals(context);
+    handleSignals(context);
 
-    HttpServer ready(settings->ready);
-    ready.handle(readinessPath, [&context](const QByteArray &) {
+    DirectoryDuty directory(context);
+    std::vector<Endpoint> pages{settings->ready, settings->metrics, settings->spread};
+    if (!settings->control.isNull()) {
+        pages.push_back(settings->control);
+    }
+    HttpServer server(pages);
+    server.handle(readinessPath, [&context](const QByteArray &) {
         if (context.isStopping) {
             ++context.refusedReadiness;
             context.packetWakeup.notify();
         }
-        return context.isReady ? HttpResponse{okStatus, "text/plain; charset=utf-8", "ready\n"}
-                               : HttpResponse{unavailableStatus, "text/plain; charset=utf-8", "not ready\n"};
+        return context.isReady ? HttpResponse{okStatus, textType, "ready\n"} : HttpResponse{unavailableStatus, textType, "not ready\n"};
     });
-    HttpServer metrics(settings->metrics);
-    metrics.handle("/metrics", [&context](const QByteArray &) {
-        return HttpResponse{okStatus, "application/json", QJsonDocument(context.metrics.snapshot()).toJson()};
+    server.handle("/metrics", [&context](const QByteArray &) { return HttpResponse{okStatus, metricsType, context.metrics.toText()}; });
+    server.handle(directoryPath, [&directory](const QByteArray &query) {
+        QByteArray batch = directory.answerPeer(query);
+        return HttpResponse{batch.isEmpty() ? unavailableStatus : okStatus, "application/octet-stream", std::move(batch)};
     });
-    DirectoryDuty directory(context);
-    HttpServer control(settings->control);
-    for (HttpServer *server : {&metrics, &control}) {
-        server->handle(directoryPath, [&directory](const QByteArray &query) {
-            QByteArray batch = directory.answerPeer(query);
-            return HttpResponse{batch.isEmpty() ? unavailableStatus : okStatus, "application/octet-stream", std::move(batch)};
-        });
-    }
-    std::vector<HttpServer *> servers{&ready, &metrics};
-    if (!settings->control.isNull()) {
-        servers.push_back(&control);
-    }
-    for (HttpServer *server : servers) {
-        if (!server->start()) {
-            return fail(server->lastError());
-        }
+    if (!server.start()) {
+        return fail(server.lastError());
     }
     context.log.record(EventNumber::ProcessStarted, options.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent"));
     std::thread directoryThread([&directory] { directory.run(); });
 
     VerificationDuty verification(context);
     std::thread verificationThread([&verification] { verification.run(); });
+    SettingsDuty settingsDuty(context, options.settingsFile, *text);
+    std::thread settingsThread([&settingsDuty] { settingsDuty.run(); });
 
     packets.run();
 
@@ -150,11 +159,11 @@
     source.cancel();
     context.directoryWakeup.notify();
     context.verificationWakeup.notify();
+    context.settingsWakeup.notify();
     directoryThread.join();
     verificationThread.join();
-    for (HttpServer *server : servers) {
-        server->stop();
-    }
+    settingsThread.join();
+    server.stop();
     logs.end();
     logThread.join();
     // On the platform, the static destructor of log4cplus waited for its worker threads until the process was killed.
--- a/apps/rattanpickd/stream/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -25,6 +25,8 @@
 /// A directory that nobody could verify for longer is outdated. Above the age at which any process verifies by itself,
 /// and below the time in which entries expire while the source is away.
 constexpr Duration outdatedAge = 2200ms;
+/// Five bins for each factor of ten, from 0.1 ms to 10 s.
+constexpr int timerBins = 25;
 /// The network stops sending callers to a process after this many refusals in a row.
 constexpr int believedRefusals = 2;
 /// Batches thrown away at most after a pause; bounds the work if packets keep coming.
@@ -69,6 +71,11 @@
     , m_discarded(context.metrics.counter(QStringLiteral("packets.discarded-after-pause")))
     , m_sendFailures(context.metrics.counter(QStringLiteral("packets.send-failures")))
 {
+    constexpr std::array names{"opening.microseconds", "request.microseconds", "wait.microseconds"};
+    static_assert(names.size() == static_cast<std::size_t>(StreamTimer::Count));
+    for (std::size_t index = 0; index < names.size(); ++index) {
+        m_timers[index] = &context.metrics.histogram(QLatin1String(names[index]), HistogramSettings{.lower = 100, .upper = 1e7, .bins = timerBins});
+    }
 }
 
 bool StreamDuty::bind()
@@ -148,7 +155,7 @@
     while (const auto batch = m_context.changes.pop()) {
         hasChanged = true;
         const bool isNews = (*batch)->revision > m_freshness.revision();
-        m_freshness.onRevision(now, (*batch)->revision);
+        m_freshness.onRevision(now, (*batch)->revision, (*batch)->isFromSource);
         judgeSource(now);
         for (const DirectoryChange &change : (*batch)->changes) {
             m_decisions->onDirectoryChange(now, change, m_actions);
@@ -212,7 +219,7 @@
         return;
     }
     // All processes serve their directory at the same port.
-    m_context.informants.push({informant.address, m_context.settings.metrics.port});
+    m_context.informants.push({informant.address, m_context.settings.spread.port});
     m_context.directoryWakeup.notify();
 }
 
@@ -313,7 +320,10 @@
         } else if (const auto *toCaller = std::get_if<SendToStreamCaller>(&action)) {
             isSent = m_packets.send({toCaller->caller.address, m_context.settings.callers.port}, toCaller->packet);
         } else if (const auto *event = std::get_if<RecordStreamEvent>(&action)) {
+            m_context.metrics.counter(QStringLiteral("events.") + eventName(event->number)).add();
             m_context.log.record(event->number, event->detail, event->flow.toString());
+        } else if (const auto *time = std::get_if<RecordStreamTime>(&action)) {
+            m_timers.at(static_cast<std::size_t>(time->timer))->add(std::chrono::duration<double, std::micro>(time->time).count());
         }
         if (!isSent) {
             m_sendFailures.add();
--- a/apps/rattanpickd/stream/streamduty.h
+++ b/apps/rattanpickd/stream/streamduty.h
@@ -6,6 +6,7 @@
 #include "stream/freshnessguard.h"
 #include "stream/streamdecisions.h"
 
+#include <array>
 #include <memory>
 
 namespace Rattanpick
@@ -66,6 +67,7 @@
     Counter &m_malformedMessages;
     Counter &m_discarded;
     Counter &m_sendFailures;
+    std::array<Histogram *, static_cast<std::size_t>(StreamTimer::Count)> m_timers{};
 };
 
 }
--- a/packages/core/histogram.cpp
+++ b/packages/core/histogram.cpp
@@ -11,6 +11,7 @@
 #include <QJsonArray>
 
 #include <algorithm>
+#include <atomic>
 #include <cmath>
 
 namespace Rattanpick
@@ -49,6 +50,7 @@
 
     Cells cells;
     HistogramSettings settings;
+    std::atomic<double> sum = 0;
 };
 
 Histogram::Histogram(const HistogramSettings &settings)
@@ -62,9 +64,26 @@
 void Histogram::add(double value)
 {
     // The logarithm of a value that is not positive is no number, and Boost counts it as overflow.
+    m_private->sum.fetch_add(value, std::memory_order_relaxed);
     m_private->cells(value > 0 ? value : m_private->settings.lower / 2);
 }
 
+std::vector<Histogram::Cumulative> Histogram::cumulative() const
+{
+    std::vector<Cumulative> bins;
+    quint64 seen = m_private->at(-1);
+    for (int index = 0; index < m_private->size(); ++index) {
+        seen += m_private->at(index);
+        bins.push_back({m_private->cells.axis().bin(index).upper(), seen});
+    }
+    return bins;
+}
+
+double Histogram::sum() const
+{
+    return m_private->sum.load(std::memory_order_relaxed);
+}
+
 quint64 Histogram::count() const
 {
     quint64 sum = 0;
--- a/packages/core/histogram.h
+++ b/packages/core/histogram.h
@@ -6,6 +6,7 @@
 #include <QtGlobal>
 
 #include <memory>
+#include <vector>
 
 namespace Rattanpick
 {
@@ -30,6 +31,19 @@
     /// The upper end of the bin that holds the share @p fraction (0 to 1) of the values; 0 if there are none.
     double quantile(double fraction) const;
 
+    /// One bin: its upper end, and the values up to there from the lowest on.
+    struct Cumulative
+    {
+        double upTo = 0;
+        quint64 count = 0;
+    };
+
+    /// The bins in rising order; values above the last are counted by count() only.
+    std::vector<Cumulative> cumulative() const;
+
+    /// The sum of all values.
+    double sum() const;
+
     /// The object with the keys count, below, above, p50, p90, p99 and bins (from, to, count; empty bins left out).
     QJsonObject toJson() const;
 
--- a/packages/core/logging.cpp
+++ b/packages/core/logging.cpp
@@ -27,14 +27,18 @@
 
 void setUpLogging(EventLevel level, LogStream stream)
 {
-    constexpr std::array levels{log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL, log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
-    log4cplus::Logger root = log4cplus::Logger::getRoot();
-    root.setLogLevel(levels.at(static_cast<std::size_t>(level)));
-    addConsoleAppender(root, "%D{%Y-%m-%dT%H:%M:%S.%q} %p %c %m%n", stream);
+    setLogLevel(level);
+    addConsoleAppender(log4cplus::Logger::getRoot(), "%D{%Y-%m-%dT%H:%M:%S.%q} %p %c %m%n", stream);
 
     log4cplus::Logger events = log4cplus::Logger::getInstance("rattanpick.event");
     events.setAdditivity(false);
     addConsoleAppender(events, "%m%n", stream);
 }
 
+void setLogLevel(EventLevel level)
+{
+    constexpr std::array levels{log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL, log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
+    log4cplus::Logger::getRoot().setLogLevel(levels.at(static_cast<std::size_t>(level)));
+}
+
 }
--- a/packages/core/logging.h
+++ b/packages/core/logging.h
@@ -17,4 +17,7 @@
 /// time, level and logger.
 void setUpLogging(EventLevel level, LogStream stream = LogStream::StandardOutput);
 
+/// Changes the level from which on lines are written.
+void setLogLevel(EventLevel level);
+
 }
--- a/packages/core/metrics.h
+++ b/packages/core/metrics.h
@@ -4,6 +4,7 @@
 #include "core/gauge.h"
 #include "core/histogram.h"
 
+#include <QByteArray>
 #include <QJsonObject>
 #include <QString>
 
@@ -34,6 +35,9 @@
     /// The histogram of the name; made with @p settings at the first call, later ones ignore them.
     Histogram &histogram(const QString &name, const HistogramSettings &settings = {});
 
+    /// All measurements in the text exposition format that Prometheus reads; names start with "rattanpick_".
+    QByteArray toText() const;
+
     /// The object with the keys counters, gauges and histograms, each an object by name.
     QJsonObject snapshot() const;
 
--- a/packages/operators/httpserver.cpp
+++ b/packages/operators/httpserver.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <list>
 #include <thread>
 
 namespace Rattanpick
@@ -93,27 +94,47 @@
         http::response<http::string_body> m_response;
     };
 
-    void accept()
+    void accept(tcp::acceptor &acceptor)
     {
-        acceptor.async_accept([this](beast::error_code error, tcp::socket socket) {
+        acceptor.async_accept([this, &acceptor](beast::error_code error, tcp::socket socket) {
             if (error == asio::error::operation_aborted) {
                 return;
             }
             if (!error) {
                 std::make_shared<Connection>(std::move(socket), handlers)->read();
             }
-            accept();
+            accept(acceptor);
         });
     }
 
+    beast::error_code listen(Endpoint &endpoint)
+    {
+        tcp::acceptor &acceptor = acceptors.emplace_back(context);
+        beast::error_code error;
+        acceptor.open(tcp::v4(), error);
+        if (!error) {
+            acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+            acceptor.bind(tcp::endpoint(asio::ip::address_v4(endpoint.address), endpoint.port), error);
+        }
+        if (!error) {
+            acceptor.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (!error) {
+            endpoint.port = acceptor.local_endpoint().port();
+            accept(acceptor);
+        }
+        return error;
+    }
+
     std::map<std::string, Handler> handlers;
     asio::io_context context{1};
-    tcp::acceptor acceptor{context};
+    /// A list, since accept() keeps references.
+    std::list<tcp::acceptor> acceptors;
     std::thread thread;
 };
 
-HttpServer::HttpServer(const Endpoint &listen)
-    : m_endpoint(listen)
+HttpServer::HttpServer(const std::vector<Endpoint> &listen)
+    : m_endpoints(listen)
     , m_d(std::make_unique<Private>())
 {
 }
@@ -130,22 +151,12 @@
 
 bool HttpServer::start()
 {
-    const tcp::endpoint address(asio::ip::address_v4(m_endpoint.address), m_endpoint.port);
-    beast::error_code error;
-    m_d->acceptor.open(tcp::v4(), error);
-    if (!error) {
-        m_d->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        m_d->acceptor.bind(address, error);
-    }
-    if (!error) {
-        m_d->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
-        m_lastError = QStringLiteral("cannot listen at %1: %2").arg(m_endpoint.toString(), QString::fromStdString(error.message()));
-        return false;
+    for (Endpoint &endpoint : m_endpoints) {
+        if (const beast::error_code error = m_d->listen(endpoint)) {
+            m_lastError = QStringLiteral("cannot listen at %1: %2").arg(endpoint.toString(), QString::fromStdString(error.message()));
+            return false;
+        }
     }
-    m_endpoint.port = m_d->acceptor.local_endpoint().port();
-    m_d->accept();
     m_d->thread = std::thread([this] { m_d->context.run(); });
     return true;
 }
@@ -157,8 +168,7 @@
     }
     m_d->context.stop();
     m_d->thread.join();
-    beast::error_code ignored;
-    m_d->acceptor.close(ignored);
+    m_d->acceptors.clear();
 }
 
 }
--- a/packages/operators/httpserver.h
+++ b/packages/operators/httpserver.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Rattanpick
 {
@@ -22,7 +23,7 @@
     bool operator==(const HttpResponse &) const = default;
 };
 
-/// Answers HTTP GET requests on one address in a thread of its own.
+/// Answers HTTP GET requests on one or more addresses, in one thread of its own.
 class HttpServer
 {
 public:
@@ -30,7 +31,7 @@
     using Handler = std::function<HttpResponse(const QByteArray &query)>;
 
     /// Builds a server that does not listen yet.
-    explicit HttpServer(const Endpoint &listen);
+    explicit HttpServer(const std::vector<Endpoint> &listen);
     ~HttpServer();
 
     HttpServer(const HttpServer &) = delete;
@@ -39,16 +40,16 @@
     /// Answers GET @p path with the handler; call before start().
     void handle(const std::string &path, Handler handler);
 
-    /// Listens; false with lastError() if the address cannot be used.
+    /// Listens; false with lastError() if an address cannot be used.
     bool start();
 
     /// Ends the thread; no handler is called afterwards.
     void stop();
 
-    /// Where it listens; the port is known after start().
-    const Endpoint &endpoint() const
+    /// Where it listens, in the order given; ports are known after start().
+    const std::vector<Endpoint> &endpoints() const
     {
-        return m_endpoint;
+        return m_endpoints;
     }
 
     /// Why start() failed.
@@ -58,7 +59,7 @@
     }
 
 private:
-    Endpoint m_endpoint;
+    std::vector<Endpoint> m_endpoints;
     QString m_lastError;
     class Private;
     std::unique_ptr<Private> m_d;
--- a/packages/stream/directoryimage.cpp
+++ b/packages/stream/directoryimage.cpp
@@ -181,7 +181,7 @@
 
 DirectoryBatch DirectoryImage::since(quint64 revision) const
 {
-    DirectoryBatch batch{m_revision, {}};
+    DirectoryBatch batch{m_revision, {}, false};
     const bool isWhole = revision < m_horizon;
     ReadingCompleted completed{m_revision, {}, {}};
     for (const auto &[key, item] : m_items) {
--- a/packages/stream/directoryimage.h
+++ b/packages/stream/directoryimage.h
@@ -17,6 +17,8 @@
 {
     quint64 revision = 0;
     std::vector<DirectoryChange> changes;
+    /// Whether the source itself told the revision just now; a peer may be behind.
+    bool isFromSource = false;
 
     bool operator==(const DirectoryBatch &) const = default;
 };
--- a/packages/stream/directorywatcher.cpp
+++ b/packages/stream/directorywatcher.cpp
@@ -29,7 +29,7 @@
     }
     if (m_needsReading) {
         call.kind = SourceCall::Kind::ReadAll;
-        call.deadline = now + m_settings.readTimeout;
+        call.deadline = now + (m_revision == 0 && !m_seeds.isEmpty() ? m_settings.firstReadTimeout : m_settings.readTimeout);
         return call;
     }
     if (!m_isReader) {
--- a/packages/stream/directorywatchersettings.h
+++ b/packages/stream/directorywatchersettings.h
@@ -16,6 +16,8 @@
     Duration watchSlack = 2s;
     /// The longest wait for a complete reading.
     Duration readTimeout = 3s;
+    /// The longest wait of a process that knows nothing and could ask a seed; a reading takes 20 to 130 ms where the store answers.
+    Duration firstReadTimeout = 350ms;
     /// The longest wait for a peer, which answers from memory.
     Duration pullTimeout = 500ms;
     /// Time between the end of a watch that brought changes and the next one; gathers changes that come together.
--- a/packages/stream/freshnessguard.cpp
+++ b/packages/stream/freshnessguard.cpp
@@ -15,7 +15,7 @@
 
 // Input
 
-void FreshnessGuard::onRevision(TimePoint now, quint64 revision)
+void FreshnessGuard::onRevision(TimePoint now, quint64 revision, bool isFromSource)
 {
     if (revision <= m_revision) {
         return;
@@ -24,8 +24,10 @@
     m_latestRevision = std::max(m_latestRevision, revision);
     if (m_revision == m_latestRevision) {
         m_fetchDeadline = TimePoint::max();
-        // News that arrives at once shows that the way from the source is open.
-        verifiedAt(now);
+        // News that arrives at once shows that the way from the source is open. A peer tells its own age in messages.
+        if (isFromSource) {
+            verifiedAt(now);
+        }
     }
 }
 
--- a/packages/stream/freshnessguard.h
+++ b/packages/stream/freshnessguard.h
@@ -21,8 +21,8 @@
 
     // Input
 
-    /// The directory has been brought up to the revision.
-    void onRevision(TimePoint now, quint64 revision);
+    /// The directory has been brought up to the revision, by the source itself or by a peer.
+    void onRevision(TimePoint now, quint64 revision, bool isFromSource);
 
     /// The source has told its revision in answer to a verification that was sent at @p sentAt.
     void onVerified(TimePoint now, TimePoint sentAt, quint64 revision);
--- a/packages/stream/openingqueue.h
+++ b/packages/stream/openingqueue.h
@@ -29,6 +29,7 @@
         StreamMessage message;
         /// 0 is the most urgent.
         int priority = 0;
+        TimePoint arrival;
         /// From when on later openings of the same urgency go first.
         TimePoint patienceDeadline;
         /// When the wait is given up.
--- a/packages/stream/streamaction.h
+++ b/packages/stream/streamaction.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/eventnumber.h"
+#include "core/timepoint.h"
 #include "stream/streammessage.h"
 
 #include <QByteArray>
@@ -49,8 +50,28 @@
     bool operator==(const RecordStreamEvent &) const = default;
 };
 
+/// The times that decision objects measure.
+enum class StreamTimer : quint8 {
+    /// From the caller's opening to the news that a target holds the flow, at the balancer.
+    Opening,
+    /// From the first data of a request to the first data of its answer, at the agent.
+    Request,
+    /// Wait of an opening beside a busy target.
+    Wait,
+    Count,
+};
+
+/// Measures a time.
+struct RecordStreamTime
+{
+    StreamTimer timer = StreamTimer::Opening;
+    Duration time{};
+
+    bool operator==(const RecordStreamTime &) const = default;
+};
+
 /// What a decision object wants done.
-using StreamAction = std::variant<SendStreamMessage, SendToStreamTarget, SendToStreamCaller, RecordStreamEvent>;
+using StreamAction = std::variant<SendStreamMessage, SendToStreamTarget, SendToStreamCaller, RecordStreamEvent, RecordStreamTime>;
 
 /// In the order in which it is to be done.
 using StreamActions = std::vector<StreamAction>;
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -128,6 +128,7 @@
         }
         m_awaits.pop_front();
     }
+    dropUnanswered(now);
     releaseWaiting(now, actions);
     while (!m_expiries.empty() && now >= m_expiries.front().first) {
         const FlowKey key = m_expiries.front().second;
@@ -199,7 +200,9 @@
 {
     TimePoint next = std::min(m_directory.nextDeadline(), m_loadDeadline);
     if (m_queue.size() > 0) {
-        next = std::min({next, m_queue.nextDeadline(), m_awaits.empty() ? TimePoint::max() : m_awaits.front().first});
+        next = std::min(next, m_queue.nextDeadline());
+        next = std::min(next, m_awaits.empty() ? TimePoint::max() : m_awaits.front().first);
+        next = std::min(next, m_running.empty() ? TimePoint::max() : std::get<0>(m_running.front()));
     }
     if (m_stopDeadline) {
         next = std::min(next, std::min(*m_stopDeadline, m_stopMinimumDeadline));
@@ -410,6 +413,7 @@
     if (flow.requestStart && (segment.dataLength > 0 || isOver || segment.has(FinFlag))) {
         if (segment.dataLength > 0) {
             m_meter.answer(now, now - *flow.requestStart, flow.isServiceSample);
+            actions.emplace_back(RecordStreamTime{StreamTimer::Request, now - *flow.requestStart});
         } else {
             m_meter.abandon(now);
         }
@@ -457,7 +461,7 @@
                                                .arg(m_meter.inProgress())
                                                .arg(std::chrono::duration_cast<std::chrono::milliseconds>(expectedWait(priority)).count())
                                                .arg(priority)});
-    m_queue.add({key, message, priority, now + m_settings.waitPatience, now + limit});
+    m_queue.add({key, message, priority, now, now + m_settings.waitPatience, now + limit});
     actions.emplace_back(SendStreamMessage{message.balancer, answer(now, StreamMessageKind::Waiting, key)});
 }
 
@@ -468,6 +472,7 @@
     }
     while (m_queue.size() > 0 && hasRoom()) {
         const OpeningQueue::Entry entry = *m_queue.take(now);
+        actions.emplace_back(RecordStreamTime{StreamTimer::Wait, now - entry.arrival});
         // The target may have begun to drain meanwhile.
         const OpeningRefusal refusal = m_fence.lastingRefusal(now);
         if (refusal != OpeningRefusal::None) {
@@ -498,6 +503,19 @@
     }
 }
 
+void StreamAgent::dropUnanswered(TimePoint now)
+{
+    while (!m_running.empty() && now >= std::get<0>(m_running.front())) {
+        const auto [deadline, key, begin] = m_running.front();
+        m_running.pop_front();
+        HeldFlow *flow = find(key);
+        if (flow != nullptr && flow->requestStart == begin) {
+            flow->requestStart.reset();
+            m_meter.abandon(now);
+        }
+    }
+}
+
 // Steps
 
 void StreamAgent::passOpeningOn(const StreamMessage &message, const FlowKey &key, const QString &reason, StreamActions &actions)
@@ -640,6 +658,8 @@
         if (isNewData && !flow.requestStart) {
             flow.requestStart = now;
             flow.isServiceSample = m_meter.begin(now);
+            const auto patience = std::chrono::duration_cast<Duration>(m_meter.serviceTime() * m_settings.requestPatience);
+            m_running.emplace_back(now + std::max(patience, m_settings.requestPatienceMinimum), segment.flowFromCaller(), now);
         }
     }
 }
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <deque>
+#include <tuple>
 #include <unordered_map>
 
 namespace Rattanpick
@@ -86,6 +87,7 @@
     void releaseWaiting(TimePoint now, StreamActions &actions);
     void accept(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     void endRequestAwait(HeldFlow &flow);
+    void dropUnanswered(TimePoint now);
 
     // Steps
     void passOpeningOn(const StreamMessage &message, const FlowKey &key, const QString &reason, StreamActions &actions);
@@ -119,6 +121,8 @@
     /// Flows whose first request is awaited, in the order of the times when it no longer is.
     std::deque<std::pair<TimePoint, FlowKey>> m_awaits;
     std::size_t m_awaitedRequests = 0;
+    /// Requests in progress: until when each counts, its flow and its begin.
+    std::deque<std::tuple<TimePoint, FlowKey, TimePoint>> m_running;
     quint32 m_slotCount = 1;
     std::unordered_map<FlowKey, HeldFlow> m_flows;
     std::deque<std::pair<TimePoint, FlowKey>> m_expiries;
--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -33,6 +33,10 @@
     double allowancePerSlot = 1.0;
     /// How long a caller may take from the answer to its opening to its request; two round trips.
     Duration requestDelay = 25ms;
+    /// A request counts as in progress for this many service times at most, and for the time at least. After a restart of
+    /// the agent some are counted whose answers have passed before; they must not keep openings waiting.
+    double requestPatience = 8;
+    Duration requestPatienceMinimum = 200ms;
     /// The longest wait of an opening where the route tells no time-out.
     Duration waitLimit = 700ms;
     /// An opening that has waited for longer lets later ones go first.
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -68,6 +68,9 @@
     case StreamMessageKind::Held: {
         m_placement.onLoad(now, message.target, message.load);
         Flow &flow = found != m_flows.end() ? found->second : m_flows[message.flow];
+        if (!flow.isHeld && !flow.opening.isEmpty()) {
+            actions.emplace_back(RecordStreamTime{StreamTimer::Opening, now - flow.openedAt});
+        }
         flow.target = message.target;
         flow.agent = message.sender;
         flow.service = message.service;
@@ -255,6 +258,7 @@
     if (!isCopy) {
         flow = Flow{};
         flow.openingSequence = segment.sequence;
+        flow.openedAt = now;
     }
     flow.offers = 0;
     flow.isHeld = false;
--- a/packages/stream/streambalancer.h
+++ b/packages/stream/streambalancer.h
@@ -70,6 +70,8 @@
         std::vector<TargetId> candidates;
         std::size_t nextCandidate = 0;
         int offers = 0;
+        /// When the caller sent the opening that is under way.
+        TimePoint openedAt{};
         /// Until when the opening waits beside a target; a copy of it brings nothing new.
         TimePoint waitDeadline{};
         /// The packet that is given to an agent which searches for the flow, and that agent's target.
--- a/packages/stream/streamprocesssettings.h
+++ b/packages/stream/streamprocesssettings.h
@@ -24,8 +24,10 @@
     Endpoint messages;
     /// Where the network asks whether callers may be sent here (HTTP).
     Endpoint ready;
-    /// Where measurements and the directory are served (HTTP). The port is the same for all processes.
+    /// Where measurements are served (HTTP).
     Endpoint metrics;
+    /// Where the directory is served to other processes (HTTP). The port is the same for all of them.
+    Endpoint spread;
     /// Where the directory is served to processes that know nobody else yet (HTTP); null for agents.
     Endpoint control;
     /// Where targets, data centres and routes are published (HTTP).
--- a/packages/stream/streamprocesssettingsreader.cpp
+++ b/packages/stream/streamprocesssettingsreader.cpp
@@ -32,6 +32,7 @@
     settings.messages = values.endpoint(QStringLiteral("messages"));
     settings.ready = values.endpoint(QStringLiteral("ready"));
     settings.metrics = values.endpoint(QStringLiteral("metrics"));
+    settings.spread = values.endpoint(QStringLiteral("spread"));
     settings.callers = values.endpoint(QStringLiteral("callers"));
     if (settings.role == DaemonRole::Agent) {
         settings.outbound = values.endpoint(QStringLiteral("outbound"));
--- /dev/null
+++ b/tests/configservice/httpclienttest.cpp
@@ -0,0 +1,128 @@
+#include <configservice/httpclient.h>
+#include <operators/httpserver.h>
+
+#include <gtest/gtest.h>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace Rattanpick;
+
+namespace
+{
+
+const Endpoint anyPort{0x7f000001, 0};
+
+TimePoint soon()
+{
+    return Clock::now() + 5s;
+}
+
+/// A port where connections are accepted by the system and never answered.
+class SilentService
+{
+public:
+    SilentService()
+        : m_descriptor(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(anyPort.address);
+        socklen_t length = sizeof(address);
+        ::bind(m_descriptor, reinterpret_cast<sockaddr *>(&address), length);
+        ::listen(m_descriptor, 8);
+        ::getsockname(m_descriptor, reinterpret_cast<sockaddr *>(&address), &length);
+        m_port = ntohs(address.sin_port);
+    }
+
+    ~SilentService()
+    {
+        ::close(m_descriptor);
+    }
+
+    Endpoint endpoint() const
+    {
+        return {anyPort.address, m_port};
+    }
+
+private:
+    int m_descriptor;
+    quint16 m_port = 0;
+};
+
+}
+
+// Guards against pages that are served on one of the addresses only, and against a query that is lost.
+TEST(HttpClientTest, ReadsPagesOfAServer)
+{
+    HttpServer server({anyPort, anyPort});
+    server.handle("/page", [](const QByteArray &query) { return HttpResponse{200, "text/plain", "query: " + query}; });
+    ASSERT_TRUE(server.start()) << server.lastError().toStdString();
+    HttpClient client(HttpClientSettings{});
+    for (const Endpoint &endpoint : server.endpoints()) {
+        const std::optional<HttpAnswer> answer = client.get(endpoint, "/page?after=7", soon());
+        ASSERT_TRUE(answer) << client.lastError().toStdString();
+        EXPECT_EQ(answer->status, 200);
+        EXPECT_EQ(answer->body, "query: after=7");
+    }
+    const std::optional<HttpAnswer> missing = client.get(server.endpoints().front(), "/other", soon());
+    ASSERT_TRUE(missing);
+    EXPECT_EQ(missing->status, 404);
+}
+
+// Guards against a failed call after a service has closed a connection that the client had kept.
+TEST(HttpClientTest, RepeatsACallOnAClosedConnection)
+{
+    auto server = std::make_unique<HttpServer>(std::vector{anyPort});
+    server->handle("/page", [](const QByteArray &) { return HttpResponse{}; });
+    ASSERT_TRUE(server->start());
+    const Endpoint endpoint = server->endpoints().front();
+    HttpClient client(HttpClientSettings{});
+    EXPECT_TRUE(client.get(endpoint, "/page", soon()));
+    server.reset();
+    server = std::make_unique<HttpServer>(std::vector{endpoint});
+    server->handle("/page", [](const QByteArray &) { return HttpResponse{}; });
+    ASSERT_TRUE(server->start()) << server->lastError().toStdString();
+    EXPECT_TRUE(client.get(endpoint, "/page", soon())) << client.lastError().toStdString();
+}
+
+// Guards against a client that waits for ever for a silent service.
+TEST(HttpClientTest, GivesUpAtTheDeadline)
+{
+    const SilentService service;
+    HttpClient client(HttpClientSettings{});
+    const TimePoint begin = Clock::now();
+    EXPECT_FALSE(client.get(service.endpoint(), "/page", begin + 200ms));
+    EXPECT_GE(Clock::now() - begin, 200ms);
+    EXPECT_FALSE(client.lastError().isEmpty());
+}
+
+// Guards against a watch that goes on after the process wants to read again, and against an interruption that hits the
+// next call instead.
+TEST(HttpClientTest, InterruptEndsTheCurrentCallOnly)
+{
+    const SilentService silent;
+    HttpServer server({anyPort});
+    server.handle("/page", [](const QByteArray &) { return HttpResponse{}; });
+    ASSERT_TRUE(server.start());
+    HttpClient client(HttpClientSettings{});
+    std::atomic<bool> isDone = false;
+    std::thread caller([&] {
+        EXPECT_FALSE(client.get(silent.endpoint(), "/page", Clock::now() + 60s));
+        isDone = true;
+    });
+    // The call may not have begun when the first interruptions come; those mean nothing.
+    while (!isDone) {
+        client.interrupt();
+        std::this_thread::yield();
+    }
+    caller.join();
+    client.interrupt();
+    EXPECT_TRUE(client.get(server.endpoints().front(), "/page", soon())) << client.lastError().toStdString();
+    client.cancel();
+    EXPECT_FALSE(client.get(server.endpoints().front(), "/page", soon()));
+}
--- a/tests/core/logbudgettest.cpp
+++ b/tests/core/logbudgettest.cpp
@@ -52,7 +52,9 @@
     std::vector<Event> written;
     EventLogSettings settings;
     settings.process = QStringLiteral("p1");
-    settings.sink = [&written](const Event &event) { written.push_back(event); };
+    settings.sink = [&written](const Event &event) {
+        written.push_back(event);
+    };
     settings.budget = LogBudget();
     EventLog log(settings);
     for (int line = 0; line < 100; ++line) {
--- a/tests/core/metricstest.cpp
+++ b/tests/core/metricstest.cpp
@@ -66,3 +66,23 @@
     EXPECT_NEAR(histogram.quantile(0.5), 10, 1e-6);
     EXPECT_NEAR(histogram.quantile(0.99), 1000, 1e-6);
 }
+
+// Guards against a page that a scraper cannot read: names with dots, buckets that do not add up, no total.
+TEST(MetricsTest, TextHasTheExpositionFormat)
+{
+    Metrics metrics;
+    metrics.counter(QStringLiteral("events.FlowOpened")).add(3);
+    Histogram &histogram = metrics.histogram(QStringLiteral("request.microseconds"), HistogramSettings{.lower = 1, .upper = 100, .bins = 2});
+    for (const double value : {0.5, 5.0, 50.0, 500.0}) {
+        histogram.add(value);
+    }
+    EXPECT_EQ(metrics.toText(),
+              "# TYPE rattanpick_events_FlowOpened counter\n"
+              "rattanpick_events_FlowOpened 3\n"
+              "# TYPE rattanpick_request_microseconds histogram\n"
+              "rattanpick_request_microseconds_bucket{le=\"10\"} 2\n"
+              "rattanpick_request_microseconds_bucket{le=\"100\"} 3\n"
+              "rattanpick_request_microseconds_bucket{le=\"+Inf\"} 4\n"
+              "rattanpick_request_microseconds_sum 555.5\n"
+              "rattanpick_request_microseconds_count 4\n");
+}
--- a/tests/stream/directoryimagetest.cpp
+++ b/tests/stream/directoryimagetest.cpp
@@ -52,7 +52,7 @@
 
 DirectoryBatch readingBatch(quint64 revision)
 {
-    DirectoryBatch batch{revision, reading({target(1), target(2)}, revision)};
+    DirectoryBatch batch{revision, reading({target(1), target(2)}, revision), true};
     std::erase_if(batch.changes, [](const DirectoryChange &change) { return std::holds_alternative<SourceSwitched>(change); });
     return batch;
 }
@@ -77,7 +77,7 @@
     const int steps = *rc::gen::inRange(1, 30);
     for (int step = 0; step < steps; ++step) {
         const auto revision = static_cast<quint64>(11 + step);
-        const DirectoryBatch batch{revision, {randomChange(revision)}};
+        const DirectoryBatch batch{revision, {randomChange(revision)}, true};
         image.apply(batch);
         take(own, batch);
         if (*rc::gen::inRange(0, 3) == 0) {
@@ -105,7 +105,7 @@
 {
     StreamTarget cold = target(1);
     cold.coldDeadline = start + 2s;
-    const std::optional<DirectoryBatch> batch = decodeDirectoryBatch(start + 100s, encodeDirectoryBatch(start + 500ms, {7, {TargetListed{7, cold}}}));
+    const std::optional<DirectoryBatch> batch = decodeDirectoryBatch(start + 100s, encodeDirectoryBatch(start + 500ms, {7, {TargetListed{7, cold}}, false}));
     ASSERT_TRUE(batch);
     EXPECT_EQ(std::get<TargetListed>(batch->changes.front()).target.coldDeadline, start + 100s + 1500ms);
 }
--- a/tests/stream/directorywatchertest.cpp
+++ b/tests/stream/directorywatchertest.cpp
@@ -110,6 +110,8 @@
     DirectoryWatcher watcher(DirectoryWatcherSettings{});
     const QList<Endpoint> seeds{{1, 1}, {2, 2}};
     watcher.setSeeds(seeds);
+    // A store that is silent must not keep a restarted process away for seconds.
+    EXPECT_LE(watcher.next(start).deadline, start + 500ms);
     for (const Endpoint &seed : {seeds.at(0), seeds.at(1), seeds.at(0)}) {
         watcher.onAnswer(start, {SourceResult::Failed, 0, {}, {}});
         const SourceCall call = watcher.next(start);
--- a/tests/stream/freshnessguardtest.cpp
+++ b/tests/stream/freshnessguardtest.cpp
@@ -18,7 +18,7 @@
     FreshnessGuard guard(FreshnessGuardSettings{}, start);
     guard.setReader(true);
     guard.setAlone(false);
-    guard.onRevision(start, revision);
+    guard.onRevision(start, revision, true);
     return guard;
 }
 
@@ -45,7 +45,7 @@
     FreshnessGuard guard(settings, start);
     guard.setReader(*rc::gen::arbitrary<bool>());
     guard.setAlone(false);
-    guard.onRevision(start, 12);
+    guard.onRevision(start, 12, true);
     const TimePoint change = start + std::chrono::milliseconds(*rc::gen::inRange(0, 5000));
     TimePoint now = start;
     while (!guard.takeFetch(now)) {
@@ -73,7 +73,7 @@
 {
     FreshnessGuard guard = guardAt(12);
     guard.onPeer(start + 100ms, peer, 13, 0ms);
-    guard.onRevision(start + 500ms, 13);
+    guard.onRevision(start + 500ms, 13, true);
     EXPECT_FALSE(guard.takeFetch(start + 10s));
 }
 
@@ -117,3 +117,13 @@
     guard.onPeer(start + 910ms, peer, 12, 0ms);
     EXPECT_FALSE(guard.takeQuestion(start + 1300ms));
 }
+
+// Guards against a process that started from a seed and takes what the seed knew for verified.
+TEST(FreshnessGuardTest, RevisionsOfPeersAreNotVerified)
+{
+    FreshnessGuard guard(FreshnessGuardSettings{}, start);
+    guard.onRevision(start, 12, false);
+    EXPECT_GT(guard.age(start), 1min);
+    guard.onPeer(start + 100ms, peer, 12, 300ms);
+    EXPECT_EQ(guard.age(start + 100ms), 300ms);
+}
--- a/tests/stream/openingqueuetest.cpp
+++ b/tests/stream/openingqueuetest.cpp
@@ -12,7 +12,7 @@
 
 OpeningQueue::Entry entry(quint16 port, int priority = 1, TimePoint arrival = start)
 {
-    return {{{caller.address, port}, route}, {}, priority, arrival + 60ms, arrival + 400ms};
+    return {{{caller.address, port}, route}, {}, priority, arrival, arrival + 60ms, arrival + 400ms};
 }
 
 quint16 takePort(OpeningQueue &queue, TimePoint now)
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -288,6 +288,26 @@
     EXPECT_TRUE(m_agent.isStopped(settled + 1s));
 }
 
+// Guards against openings that wait for ever behind requests that have long been answered: after a restart, the agent sees a
+// repeated request whose answer has passed before, and the target only acknowledges it.
+TEST_F(StreamAgentTest, UnansweredRequestsDoNotFillTheTarget)
+{
+    for (quint16 port = 1; port <= 8; ++port) {
+        const FlowKey busy{{caller.address, port}, route};
+        receive(start + 1s, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1001, 100, busy)));
+        fromTarget(start + 1s, targetSegment(AckFlag, 1001, 0, busy));
+    }
+    EXPECT_EQ(m_agent.load(start + 1s).requestsInProgress, 8);
+    const StreamMessage opening = message(StreamMessageKind::Opening, callerSegment(SynFlag), {target(2).id});
+    EXPECT_TRUE(segments<SendToStreamTarget>(receive(start + 1100ms, opening)).empty());
+    StreamActions later;
+    for (Duration time = 1100ms; time < 1400ms; time += 10ms) {
+        m_agent.onTick(start + time, later);
+    }
+    EXPECT_EQ(segments<SendToStreamTarget>(later).size(), 1);
+    EXPECT_TRUE(messages(later, StreamMessageKind::Opening).empty());
+}
+
 // Guards against a load that counts repeated segments as requests.
 TEST_F(StreamAgentTest, RepeatedSegmentsAreNoRequests)
 {
--- /dev/null
+++ b/tests/stream/streamprocesssettingsreadertest.cpp
@@ -0,0 +1,112 @@
+#include <stream/settingsreload.h>
+#include <stream/streamprocesssettingsreader.h>
+
+#include <gtest/gtest.h>
+
+using namespace Rattanpick;
+
+namespace
+{
+
+const QByteArray agentText = "[process]\n"
+                             "name = side-1\n"
+                             "role = agent\n"
+                             "data-centre = escale\n"
+                             "stop-grace-seconds = 6\n"
+                             "[listen]\n"
+                             "callers = 10.1.0.12:8172\n"
+                             "outbound = 10.1.0.12:8162\n"
+                             "messages = 10.1.0.12:7720\n"
+                             "ready = 10.1.0.12:8167\n"
+                             "metrics = 10.1.0.12:9464\n"
+                             "spread = 10.1.0.12:7721\n"
+                             "[directory]\n"
+                             "store = 10.200.1.7:8169\n"
+                             "seeds = 10.1.0.10:8166,10.2.0.40:8166\n"
+                             "[flows]\n"
+                             "maximum-age-seconds = 60\n"
+                             "[target]\n"
+                             "address = 10.1.0.12:8165\n"
+                             "service = huvo11a\n"
+                             "cold-factor = 1.5\n"
+                             "cold-slack = 5\n";
+
+}
+
+// Guards against settings that are read into the wrong member.
+TEST(StreamProcessSettingsReaderTest, ReadsAnAgent)
+{
+    StreamProcessSettingsReader reader(QStringLiteral("agent.ini"));
+    const std::optional<StreamProcessSettings> settings = reader.read(agentText);
+    ASSERT_TRUE(settings) << reader.findings().first().toString().toStdString();
+    EXPECT_EQ(settings->role, DaemonRole::Agent);
+    EXPECT_EQ(settings->callers.port, 8172);
+    EXPECT_EQ(settings->outbound.port, 8162);
+    EXPECT_EQ(settings->messages.port, 7720);
+    EXPECT_EQ(settings->spread.port, 7721);
+    EXPECT_EQ(settings->seeds.size(), 2);
+    EXPECT_EQ(settings->target.port, 8165);
+    EXPECT_EQ(settings->coldFactor, 1.5);
+    EXPECT_EQ(settings->coldSlack, 5);
+    EXPECT_EQ(settings->stopGrace, 6s);
+    EXPECT_TRUE(settings->control.isNull());
+}
+
+// Guards against a reader that stops at the first fault, or that names no place.
+TEST(StreamProcessSettingsReaderTest, ReportsEveryFaultWithItsPlace)
+{
+    QByteArray text = agentText;
+    text.replace("callers = 10.1.0.12:8172\n", "");
+    text.replace("store = 10.200.1.7:8169", "store = nowhere");
+    text.replace("cold-factor = 1.5", "cold-factor = much");
+    text.append("[extra]\n");
+    StreamProcessSettingsReader reader(QStringLiteral("agent.ini"));
+    EXPECT_FALSE(reader.read(text));
+    ASSERT_EQ(reader.findings().size(), 4);
+    for (const Finding &finding : reader.findings()) {
+        EXPECT_EQ(finding.place.file, QStringLiteral("agent.ini"));
+        EXPECT_GT(finding.place.line, 0);
+        EXPECT_FALSE(finding.allowed.isEmpty());
+    }
+}
+
+// Guards against keys of one role that are taken without a word for the other.
+TEST(StreamProcessSettingsReaderTest, BalancersHaveNoTarget)
+{
+    QByteArray text = agentText;
+    text.replace("role = agent", "role = balancer");
+    StreamProcessSettingsReader reader(QStringLiteral("balancer.ini"));
+    EXPECT_FALSE(reader.read(text));
+    // [target] and "outbound" are unknown, "control" is missing.
+    EXPECT_EQ(reader.findings().size(), 3);
+}
+
+// Guards against bad settings that stop or change a running process, and against findings at each look at the file.
+TEST(SettingsReloadTest, FilesWithFindingsChangeNothing)
+{
+    SettingsReload reload(QStringLiteral("agent.ini"), *StreamProcessSettingsReader({}).read(agentText), agentText);
+    EXPECT_FALSE(reload.offer(agentText));
+    QByteArray bad = agentText;
+    bad.replace("role = agent", "role = king");
+    EXPECT_FALSE(reload.offer(bad));
+    EXPECT_FALSE(reload.findings().isEmpty());
+    EXPECT_FALSE(reload.offer(bad));
+    EXPECT_TRUE(reload.findings().isEmpty());
+    EXPECT_FALSE(reload.offer("").has_value());
+    EXPECT_TRUE(reload.offer(agentText).has_value());
+}
+
+// Guards against a changed address that is taken for in force although the sockets are bound to the earlier one.
+TEST(SettingsReloadTest, TellsWhatIsTakenAndWhatWaits)
+{
+    SettingsReload reload(QStringLiteral("agent.ini"), *StreamProcessSettingsReader({}).read(agentText), agentText);
+    QByteArray changed = agentText;
+    changed.replace("10.2.0.40:8166", "10.2.0.41:8166");
+    changed.replace("10.1.0.12:7720", "10.1.0.12:7730");
+    const std::optional<ReloadedSettings> reloaded = reload.offer(changed);
+    ASSERT_TRUE(reloaded);
+    EXPECT_EQ(reloaded->taken, QStringList{QStringLiteral("seeds")});
+    EXPECT_EQ(reloaded->waiting, QStringList{QStringLiteral("messages")});
+    EXPECT_EQ(reloaded->settings.messages.port, 7720);
+    EXPECT_EQ(reloaded->settings.seeds.last().address, 0x0a020029);
+}
