--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -63,7 +63,7 @@
 std::optional<StreamProcessSettings> readSettings(const QString &name, const QByteArray &text, DaemonRole role)
 {
     StreamProcessSettingsReader reader(name);
-    const std::optional<StreamProcessSettings> settings = reader.read(text);
+    std::optional<StreamProcessSettings> settings = reader.read(text);
     for (const Finding &finding : reader.findings()) {
         std::fprintf(stderr, "%s\n", qPrintable(finding.toString()));
     }
--- a/cmake/RattanpickTargets.cmake
+++ b/cmake/RattanpickTargets.cmake
@@ -3,6 +3,10 @@
 target_compile_definitions(rattanpick_options INTERFACE QT_NO_KEYWORDS QT_NO_CAST_FROM_BYTEARRAY)
 target_compile_options(rattanpick_options INTERFACE -Wall -Wextra -Wshadow -Werror)
 target_link_libraries(rattanpick_options INTERFACE Qt6::Core Threads::Threads)
+# Headers that most sources include; the linter reads the sources without them, so that no include can be missing.
+target_precompile_headers(rattanpick_options INTERFACE
+    <QByteArray> <QJsonArray> <QJsonDocument> <QJsonObject> <QList> <QString>
+    <algorithm> <array> <chrono> <deque> <functional> <map> <memory> <optional> <random> <set> <string> <unordered_map> <variant> <vector>)
 
 # rattanpick_package(NAME LINKS lib...): a static library of all sources in the calling folder.
 # Headers are included as <core/endpoint.h>, by package and file name.
@@ -24,6 +28,7 @@
     # Tests that read documents of the source tree find it by this name; __FILE__ is relative under ccache.
     target_compile_definitions(test_${folder} PRIVATE RATTANPICK_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
     target_link_libraries(test_${folder} PRIVATE rattanpick_options GTest::gtest GTest::gtest_main rapidcheck ${ARG_LINKS})
+    target_precompile_headers(test_${folder} PRIVATE <gtest/gtest.h> <rapidcheck/gtest.h>)
     add_test(NAME ${folder} COMMAND test_${folder})
     set_tests_properties(${folder} PROPERTIES TIMEOUT 300)
 endfunction()
--- a/packages/stream/flowsearch.cpp
+++ b/packages/stream/flowsearch.cpp
@@ -28,8 +28,7 @@
     search.isExhaustive = m_directory.isSettled(now);
     std::set<TargetId> asked;
     for (const auto &[id, entry] : m_directory.entries()) {
-        const bool isOfRoute = std::ranges::any_of(route->shares, [&entry](const ServiceShare &share) { return share.service == entry.target.service; });
-        if (!isOfRoute) {
+        if (!route->leadsTo(entry.target.service)) {
             continue;
         }
         const bool isOwn = entry.target.address == m_settings.target;
--- a/packages/stream/route.h
+++ b/packages/stream/route.h
@@ -6,6 +6,7 @@
 
 #include <QString>
 
+#include <algorithm>
 #include <vector>
 
 namespace Rattanpick
@@ -33,6 +34,12 @@
     /// Time after which a caller no longer waits for an answer; zero if not known.
     Duration timeout{};
 
+    /// Whether flows of this route go to the service.
+    bool leadsTo(ServiceId service) const
+    {
+        return std::ranges::any_of(shares, [service](const ServiceShare &share) { return share.service == service; });
+    }
+
     bool operator==(const Route &) const = default;
 };
 
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -372,8 +372,7 @@
     const TargetDirectory::Entry *best = nullptr;
     std::pair<bool, quint64> bestRank;
     for (const auto &[id, entry] : m_directory.entries()) {
-        const bool isOfRoute = std::ranges::any_of(route->shares, [&entry](const ServiceShare &share) { return share.service == entry.target.service; });
-        if (!entry.isPresent() || !isOfRoute) {
+        if (!entry.isPresent() || !route->leadsTo(entry.target.service)) {
             continue;
         }
         const std::pair rank(!m_placement.isSuspected(now, id), hashPair(key.hash(), static_cast<quint64>(id)));
--- a/packages/stream/streamprocesssettingsreader.cpp
+++ b/packages/stream/streamprocesssettingsreader.cpp
@@ -12,7 +12,7 @@
 {
 
 constexpr qint64 maximumGraceSeconds = 3600;
-constexpr qint64 maximumFlowAgeSeconds = 7 * 24 * 3600;
+constexpr qint64 maximumFlowAgeSeconds = qint64{7} * 24 * 3600;
 constexpr double maximumColdFactor = 100;
 constexpr double maximumColdSlack = 1e6;
 
