--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -111,7 +111,7 @@
     };
     std::thread logThread([&logs] { logs.run(); });
     StreamContext context(*settings, logSettings, format, source);
-    StreamDuty packets(context);
+    StreamDuty packets(context, options.adjustAgent);
     const auto fail = [&logs, &logThread](const QString &error) {
         std::fprintf(stderr, "rattanpickd: %s\n", qPrintable(error));
         logs.end();
@@ -124,9 +124,9 @@
     handleSignals(context);
 
     DirectoryDuty directory(context);
-    std::vector<Endpoint> pages{settings->ready, settings->metrics, settings->spread};
+    std::vector<Endpoint> pages{settings->ready, settings->metrics, settings->boundAt(settings->spread)};
     if (!settings->control.isNull()) {
-        pages.push_back(settings->control);
+        pages.push_back(settings->boundAt(settings->control));
     }
     HttpServer server(pages);
     server.handle(readinessPath, [&context](const QByteArray &) {
--- a/apps/rattanpickd/stream/streamdaemon.h
+++ b/apps/rattanpickd/stream/streamdaemon.h
@@ -3,6 +3,7 @@
 #include <QString>
 
 #include "operators/daemonsettings.h"
+#include "stream/streamagentsettings.h"
 
 namespace Rattanpick
 {
@@ -15,6 +16,8 @@
     DaemonRole role = DaemonRole::Balancer;
     /// Check the settings and stop.
     bool isCheckOnly = false;
+    /// Changes what an agent is built with; a proof replaces one of its mechanisms by the baseline.
+    void (*adjustAgent)(StreamAgentSettings &settings) = nullptr;
 };
 
 /// Runs a process that forwards byte-stream flows on the platform until SIGTERM or SIGINT; the exit code of the process.
--- a/apps/rattanpickd/stream/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -34,7 +34,8 @@
 /// Datagrams taken with one system call; more would cost memory and bring nothing at some hundred packets a second.
 constexpr std::size_t receiveBatch = 16;
 
-std::unique_ptr<StreamDecisions> makeDecisions(const StreamProcessSettings &settings, const SegmentFormat &format, TimePoint now)
+std::unique_ptr<StreamDecisions>
+makeDecisions(const StreamProcessSettings &settings, const SegmentFormat &format, TimePoint now, void (*adjustAgent)(StreamAgentSettings &))
 {
     // Agents listen at the same port on all machines, so that the address of a target leads to its agent.
     const TargetDirectorySettings directory{.agentPort = settings.messages.port, .departedMemory = settings.maximumFlowAge};
@@ -53,14 +54,17 @@
     agent.directory = directory;
     agent.coldFactor = settings.coldFactor;
     agent.coldSlack = settings.coldSlack;
+    if (adjustAgent != nullptr) {
+        adjustAgent(agent);
+    }
     return std::make_unique<StreamAgent>(agent, format, now);
 }
 
 }
 
-StreamDuty::StreamDuty(StreamContext &context)
+StreamDuty::StreamDuty(StreamContext &context, void (*adjustAgent)(StreamAgentSettings &))
     : m_context(context)
-    , m_decisions(makeDecisions(context.settings, context.format, Clock::now()))
+    , m_decisions(makeDecisions(context.settings, context.format, Clock::now(), adjustAgent))
     , m_freshness(FreshnessGuardSettings{.seed = QRandomGenerator::system()->generate64()}, Clock::now())
     , m_messages(receiveBatch)
     , m_packets(receiveBatch)
@@ -82,7 +86,7 @@
 {
     const StreamProcessSettings &settings = m_context.settings;
     const Endpoint &packets = settings.role == DaemonRole::Balancer ? settings.callers : settings.outbound;
-    for (const auto &[socket, endpoint] : {std::pair{&m_messages, settings.messages}, std::pair{&m_packets, packets}}) {
+    for (const auto &[socket, endpoint] : {std::pair{&m_messages, settings.boundAt(settings.messages)}, std::pair{&m_packets, packets}}) {
         if (!socket->bind(endpoint)) {
             m_lastError = socket->lastError();
             return false;
@@ -102,10 +106,11 @@
         if (m_isStopNoticed && m_decisions->isStopped(now)) {
             return;
         }
-        std::array<pollfd, 3> descriptors{
+        std::array<pollfd, 4> descriptors{
             pollfd{m_messages.descriptor(), POLLIN, 0},
             pollfd{m_packets.descriptor(), POLLIN, 0},
             pollfd{m_context.packetWakeup.descriptor(), POLLIN, 0},
+            pollfd{m_targetProbe.descriptor(), POLLOUT, 0},
         };
         const auto wait = std::chrono::ceil<std::chrono::milliseconds>(timeToNext(now)).count();
         const int ready = ::poll(descriptors.data(), descriptors.size(), static_cast<int>(wait));
@@ -140,6 +145,9 @@
     if (hasPackets) {
         receivePackets(now);
     }
+    if (const std::optional<bool> isThere = m_targetProbe.takeResult()) {
+        m_decisions->onTargetProbed(now, *isThere, m_actions);
+    }
     if (now >= m_tickDeadline || now >= m_decisions->nextDeadline()) {
         m_tickDeadline = now + tickInterval;
         m_decisions->onTick(now, m_actions);
@@ -322,6 +330,8 @@
         } else if (const auto *event = std::get_if<RecordStreamEvent>(&action)) {
             m_context.metrics.counter(QStringLiteral("events.") + eventName(event->number)).add();
             m_context.log.record(event->number, event->detail, event->flow.toString());
+        } else if (std::holds_alternative<ProbeStreamTarget>(action)) {
+            m_targetProbe.begin(m_context.settings.target);
         } else if (const auto *time = std::get_if<RecordStreamTime>(&action)) {
             m_timers.at(static_cast<std::size_t>(time->timer))->add(std::chrono::duration<double, std::micro>(time->time).count());
         }
--- a/apps/rattanpickd/stream/streamduty.h
+++ b/apps/rattanpickd/stream/streamduty.h
@@ -2,8 +2,10 @@
 
 #include "rattanpickd/stream/streamcontext.h"
 
+#include "fabric/connectionprobe.h"
 #include "fabric/udpsocket.h"
 #include "stream/freshnessguard.h"
+#include "stream/streamagentsettings.h"
 #include "stream/streamdecisions.h"
 
 #include <array>
@@ -20,7 +22,7 @@
 {
 public:
     /// Builds the duty; the context must outlive it.
-    explicit StreamDuty(StreamContext &context);
+    StreamDuty(StreamContext &context, void (*adjustAgent)(StreamAgentSettings &settings));
 
     /// Binds the sockets; false with lastError() if an address cannot be used.
     bool bind();
@@ -55,6 +57,7 @@
     UdpSocket m_messages;
     /// Packets of callers (balancers) or of the target (agents).
     UdpSocket m_packets;
+    ConnectionProbe m_targetProbe;
     StreamActions m_actions;
     TimePoint m_latestStep;
     TimePoint m_tickDeadline{};
--- a/packages/stream/heldflow.h
+++ b/packages/stream/heldflow.h
@@ -33,6 +33,8 @@
     /// The sequence number of the target's answer to the opening.
     quint32 targetSequence = 0;
     bool hasTargetSequence = false;
+    /// End of the data that the target was seen to send; valid with the sequence.
+    quint32 targetEnd = 0;
     /// The latest acknowledgement of the caller; a reset is valid near it.
     quint32 callerAcknowledgement = 0;
     /// End of the data that the caller has sent.
--- a/packages/stream/loadreport.h
+++ b/packages/stream/loadreport.h
@@ -18,7 +18,11 @@
     quint16 flows = 0;
     /// Mean time of a request that found a free slot, in microseconds; 0 if not known.
     quint32 serviceMicroseconds = 0;
-    /// The agent takes no new flows: planned stop, drain, evacuation or target silence.
+    /// Share of the requests that the target failed lately, in permille.
+    quint16 failurePermille = 0;
+    /// Mean length of its answers' first segments in bytes; 0 if not known.
+    quint16 answerBytes = 0;
+    /// The agent takes no new flows: planned stop, drain, evacuation or a target that has ended.
     bool isClosed = false;
 
     bool operator==(const LoadReport &) const = default;
--- a/packages/stream/openingfence.cpp
+++ b/packages/stream/openingfence.cpp
@@ -25,6 +25,7 @@
         "data-centre-out",
         "cold",
         "stopping",
+        "target-ended",
         "outdated",
     };
     return names.at(static_cast<std::size_t>(refusal));
@@ -72,6 +73,9 @@
     if (m_isStopping) {
         return OpeningRefusal::Stopping;
     }
+    if (m_hasTargetEnded) {
+        return OpeningRefusal::TargetEnded;
+    }
     if (now < m_holdDeadline) {
         return OpeningRefusal::Outdated;
     }
--- a/packages/stream/openingfence.h
+++ b/packages/stream/openingfence.h
@@ -22,6 +22,8 @@
     Cold,
     /// This process is about to stop.
     Stopping,
+    /// The process of the target has ended.
+    TargetEnded,
     /// This process was paused and has not heard from the directory since.
     Outdated,
     Count,
@@ -49,6 +51,12 @@
         m_isStopping = true;
     }
 
+    /// The target process has ended, or another one is there.
+    void setTargetEnded(bool hasEnded)
+    {
+        m_hasTargetEnded = hasEnded;
+    }
+
     /// Refuses openings until a reading of the directory has ended, or until the deadline.
     void holdUntil(TimePoint deadline)
     {
@@ -68,6 +76,7 @@
     const TargetDirectory &m_directory;
     ColdLimit m_cold;
     bool m_isStopping = false;
+    bool m_hasTargetEnded = false;
     TimePoint m_holdDeadline{};
 };
 
--- a/packages/stream/placement.h
+++ b/packages/stream/placement.h
@@ -35,7 +35,7 @@
     // Decisions
 
     /// At most @p limit targets of the service for a new flow, the best first; empty if none may take it.
-    std::vector<TargetId> order(TimePoint now, const TargetDirectory &directory, ServiceId service, const FlowKey &flow, std::size_t limit) const;
+    std::vector<TargetId> order(TimePoint now, const TargetDirectory &directory, ServiceId service, const FlowKey &flow, std::size_t limit);
 
     /// What the placement knows of the target, for logs.
     QString describe(TimePoint now, TargetId target) const;
@@ -62,11 +62,24 @@
         TimePoint pingDeadline = TimePoint::max();
     };
 
-    double expectedSeconds(TimePoint now, const StreamTarget &target) const;
+    /// What is usual among the targets of a service; 0 if not known.
+    struct Norm
+    {
+        double serviceSeconds = 0;
+        double answerBytes = 0;
+        /// When to look again.
+        TimePoint deadline{};
+    };
+
+    const Norm &currentNorm(TimePoint now, const TargetDirectory &directory, ServiceId service);
+    Norm normOf(TimePoint now, const TargetDirectory &directory, ServiceId service) const;
+    double expectedSeconds(TimePoint now, const StreamTarget &target, const Norm &norm) const;
+    double failureShare(const LoadReport &load, const Norm &norm) const;
     const State *stateOf(TargetId target) const;
 
     PlacementSettings m_settings;
     std::map<TargetId, State> m_states;
+    std::map<ServiceId, Norm> m_norms;
 };
 
 }
--- a/packages/stream/placementsettings.h
+++ b/packages/stream/placementsettings.h
@@ -22,6 +22,18 @@
     Duration drainingGrace = 1s;
     /// Service time assumed while none is known.
     Duration assumedServiceTime = 20ms;
+    /// What a failed request costs its caller: about the time-out of an attempt.
+    Duration failureCost = 500ms;
+    /// Failed shares up to this one do not count: one failure alone, which weighs 0.08, moved the flows of a calm day away
+    /// from targets whose agent was restarted.
+    double failureTolerance = 0.12;
+    /// A target whose answers are shorter than those of the others by this share fails the missing share of its requests;
+    /// the lengths of good answers differ by a third.
+    double shortAnswerShare = 0.6;
+    /// A target is not taken for faster than this share of the others' service time: what answers at once fails.
+    double fastestShare = 0.5;
+    /// Time between two looks at what is usual among the targets of a service; it changes with the mean of many requests.
+    Duration normInterval = 200ms;
     /// What a flow to another data centre costs: two crossings of the link, and its bytes.
     Duration crossingCost = 4ms;
 
--- a/packages/stream/settingsreload.cpp
+++ b/packages/stream/settingsreload.cpp
@@ -45,6 +45,7 @@
     wait("data-centre", &StreamProcessSettings::dataCentre);
     wait("callers", &StreamProcessSettings::callers);
     wait("outbound", &StreamProcessSettings::outbound);
+    wait("bind-address", &StreamProcessSettings::bindAddress);
     wait("messages", &StreamProcessSettings::messages);
     wait("ready", &StreamProcessSettings::ready);
     wait("metrics", &StreamProcessSettings::metrics);
--- a/packages/stream/streamaction.h
+++ b/packages/stream/streamaction.h
@@ -61,6 +61,12 @@
     Count,
 };
 
+/// Tries to connect to the target beside this process, to see whether its process is there.
+struct ProbeStreamTarget
+{
+    bool operator==(const ProbeStreamTarget &) const = default;
+};
+
 /// Measures a time.
 struct RecordStreamTime
 {
@@ -71,7 +77,7 @@
 };
 
 /// What a decision object wants done.
-using StreamAction = std::variant<SendStreamMessage, SendToStreamTarget, SendToStreamCaller, RecordStreamEvent, RecordStreamTime>;
+using StreamAction = std::variant<SendStreamMessage, SendToStreamTarget, SendToStreamCaller, RecordStreamEvent, RecordStreamTime, ProbeStreamTarget>;
 
 /// In the order in which it is to be done.
 using StreamActions = std::vector<StreamAction>;
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -99,6 +99,7 @@
     if (!segment) {
         return;
     }
+    onTargetHeard(now, actions);
     if (segment->has(BouncedFlag)) {
         onBounced(now, packet, *segment, actions);
         return;
@@ -129,6 +130,7 @@
         m_awaits.pop_front();
     }
     dropUnanswered(now);
+    watchTarget(now, actions);
     releaseWaiting(now, actions);
     while (!m_expiries.empty() && now >= m_expiries.front().first) {
         const FlowKey key = m_expiries.front().second;
@@ -149,9 +151,7 @@
     m_loadDeadline = now + m_settings.loadInterval;
     std::erase_if(m_balancers, [now](const auto &item) { return now >= item.second; });
     std::erase_if(m_followers, [now](const auto &item) { return now >= item.second; });
-    for (const auto &[balancer, deadline] : m_balancers) {
-        actions.emplace_back(SendStreamMessage{balancer, answer(now, StreamMessageKind::Load, {})});
-    }
+    tellLoad(now, actions);
 }
 
 void StreamAgent::onPause(TimePoint now)
@@ -169,21 +169,9 @@
     m_fence.setStopping();
     m_stopDeadline = now + m_settings.stopLimit;
     m_stopMinimumDeadline = now + m_settings.stopMinimum;
-    for (const auto &[balancer, deadline] : m_balancers) {
-        actions.emplace_back(SendStreamMessage{balancer, answer(now, StreamMessageKind::Load, {})});
-    }
-}
-
-void StreamAgent::onTargetEnded(TimePoint now, StreamActions &actions)
-{
-    std::vector<FlowKey> keys;
-    for (const auto &[key, flow] : m_flows) {
-        keys.push_back(key);
-    }
-    // Callers that are told at once can repeat their requests elsewhere within their deadlines.
-    for (const FlowKey &key : keys) {
-        breakFlow(now, key, m_flows[key], QStringLiteral("reason=target-ended"), actions);
-    }
+    tellLoad(now, actions);
+    // A machine is stopped after its target has ended: then there is nothing to wait for.
+    actions.emplace_back(ProbeStreamTarget{});
 }
 
 void StreamAgent::onWithdrawn(TimePoint /*now*/)
@@ -193,7 +181,7 @@
 
 bool StreamAgent::isStopped(TimePoint now) const
 {
-    return m_stopDeadline && now >= m_stopMinimumDeadline && (m_meter.inProgress() == 0 || now >= *m_stopDeadline);
+    return m_stopDeadline && (m_hasTargetEnded || (now >= m_stopMinimumDeadline && (m_meter.inProgress() == 0 || now >= *m_stopDeadline)));
 }
 
 TimePoint StreamAgent::nextDeadline() const
@@ -207,7 +195,7 @@
     if (m_stopDeadline) {
         next = std::min(next, std::min(*m_stopDeadline, m_stopMinimumDeadline));
     }
-    return next;
+    return std::min(next, probeDeadline());
 }
 
 void StreamAgent::onNews(TimePoint now, StreamActions &actions)
@@ -267,6 +255,8 @@
     LoadReport load = m_meter.report(now);
     load.requestsInProgress = static_cast<quint16>(std::min<std::size_t>(load.requestsInProgress + m_awaitedRequests + m_queue.size(), 0xffff));
     load.flows = static_cast<quint16>(std::min<std::size_t>(m_flows.size(), 0xffff));
+    load.failurePermille = m_answers.failurePermille(now);
+    load.answerBytes = m_answers.meanBytes(now);
     load.isClosed = m_fence.lastingRefusal(now) != OpeningRefusal::None;
     return load;
 }
@@ -280,7 +270,7 @@
     if (known != nullptr && known->openingSequence == segment.sequence) {
         // A copy: the target answers it again, whatever has changed since.
         known->balancer = message.balancer;
-        giveToTarget(key, message, actions);
+        giveToTarget(now, key, message, actions);
         return;
     }
     if (m_queue.contains(key)) {
@@ -351,6 +341,80 @@
     search(now, key, message, actions);
 }
 
+// Target process
+
+void StreamAgent::onTargetProbed(TimePoint now, bool isThere, StreamActions &actions)
+{
+    if (isThere && m_hasTargetEnded) {
+        m_hasTargetEnded = false;
+        // Whatever is there now has started within the life of this process.
+        m_adoptionDeadline = now;
+        m_fence.setTargetEnded(false);
+        tellLoad(now, actions);
+    } else if (!isThere && !m_hasTargetEnded) {
+        endTarget(now, actions);
+    }
+    if (isThere) {
+        // It lives and works; silence counts from the next packet on.
+        m_givenAt.reset();
+    }
+}
+
+void StreamAgent::onTargetHeard(TimePoint now, StreamActions &actions)
+{
+    m_givenAt.reset();
+    if (m_hasTargetEnded) {
+        onTargetProbed(now, true, actions);
+    }
+}
+
+void StreamAgent::endTarget(TimePoint now, StreamActions &actions)
+{
+    m_hasTargetEnded = true;
+    m_fence.setTargetEnded(true);
+    actions.emplace_back(RecordStreamEvent{
+        EventNumber::TargetLost, {}, QStringLiteral("reason=connection-refused flows=%1 waiting=%2").arg(m_flows.size()).arg(m_queue.size())});
+    tellLoad(now, actions);
+    std::vector<FlowKey> keys;
+    for (const auto &[key, flow] : m_flows) {
+        keys.push_back(key);
+    }
+    // Callers that are told at once can repeat their requests elsewhere within their time-outs.
+    for (const FlowKey &key : keys) {
+        breakFlow(now, key, m_flows[key], QStringLiteral("reason=target-ended"), actions);
+    }
+    while (const std::optional<OpeningQueue::Entry> entry = m_queue.take(now)) {
+        passOpeningOn(entry->message, entry->flow, refusalText(OpeningRefusal::TargetEnded), actions);
+    }
+}
+
+void StreamAgent::watchTarget(TimePoint now, StreamActions &actions)
+{
+    if (now >= probeDeadline()) {
+        m_probeDeadline = now + m_settings.probeInterval;
+        actions.emplace_back(ProbeStreamTarget{});
+    }
+}
+
+TimePoint StreamAgent::probeDeadline() const
+{
+    if (m_hasTargetEnded) {
+        return m_probeDeadline;
+    }
+    if (!m_givenAt) {
+        return TimePoint::max();
+    }
+    const auto patience = std::chrono::duration_cast<Duration>(m_meter.serviceTime() * m_settings.silencePatience);
+    return std::max(*m_givenAt + std::max(patience, m_settings.silenceLimit), m_probeDeadline);
+}
+
+void StreamAgent::tellLoad(TimePoint now, StreamActions &actions)
+{
+    for (const auto &[balancer, deadline] : m_balancers) {
+        actions.emplace_back(SendStreamMessage{balancer, answer(now, StreamMessageKind::Load, {})});
+    }
+}
+
 // Packets of the target
 
 void StreamAgent::onBounced(TimePoint now, const QByteArray &packet, const Segment &segment, StreamActions &actions)
@@ -392,6 +456,7 @@
 {
     if (segment.has(SynFlag)) {
         flow.targetSequence = segment.sequence;
+        flow.targetEnd = segment.sequence + 1;
         flow.hasTargetSequence = true;
         if (flow.state == HeldFlow::State::Offered) {
             flow.state = HeldFlow::State::Answered;
@@ -410,15 +475,23 @@
         actions.emplace_back(SendStreamMessage{flow.balancer, std::move(held)});
     }
     const bool isOver = segment.has(RstFlag);
-    if (flow.requestStart && (segment.dataLength > 0 || isOver || segment.has(FinFlag))) {
+    // The network may reorder segments: an end behind data that was not seen yet comes with an answer.
+    const bool hasEndedEmpty = segment.has(FinFlag) && flow.hasTargetSequence && segment.sequence == flow.targetEnd;
+    if (flow.requestStart && (segment.dataLength > 0 || isOver || hasEndedEmpty)) {
         if (segment.dataLength > 0) {
             m_meter.answer(now, now - *flow.requestStart, flow.isServiceSample);
+            m_answers.answered(now, segment.dataLength, now - *flow.requestStart);
             actions.emplace_back(RecordStreamTime{StreamTimer::Request, now - *flow.requestStart});
         } else {
             m_meter.abandon(now);
+            m_answers.failed(now);
         }
         flow.requestStart.reset();
     }
+    const quint32 end = segment.sequence + segment.dataLength;
+    if (segment.dataLength > 0 && static_cast<qint32>(end - flow.targetEnd) > 0) {
+        flow.targetEnd = end;
+    }
     flow.hasTargetFinished = flow.hasTargetFinished || isOver || segment.has(FinFlag);
     flow.hasCallerFinished = flow.hasCallerFinished || isOver;
     keep(now, key, flow);
@@ -492,7 +565,7 @@
     ++m_awaitedRequests;
     m_awaits.emplace_back(now + m_settings.requestDelay, key);
     keep(now, key, flow);
-    giveToTarget(key, message, actions);
+    giveToTarget(now, key, message, actions);
 }
 
 void StreamAgent::endRequestAwait(HeldFlow &flow)
@@ -512,6 +585,7 @@
         if (flow != nullptr && flow->requestStart == begin) {
             flow->requestStart.reset();
             m_meter.abandon(now);
+            m_answers.failed(now);
         }
     }
 }
@@ -556,9 +630,12 @@
     }
     keep(now, key, flow);
     if (flow.state == HeldFlow::State::Assumed) {
-        giveToTarget(key, message, actions);
+        giveToTarget(now, key, message, actions);
         return;
     }
+    if (segment.dataLength > 0) {
+        m_givenAt = m_givenAt.value_or(now);
+    }
     actions.emplace_back(SendToStreamTarget{m_format.forTarget(message.packet, 0)});
 }
 
@@ -568,12 +645,13 @@
     assumed.state = HeldFlow::State::Assumed;
     noteCallerSegment(now, assumed, message, segment);
     keep(now, key, assumed);
-    giveToTarget(key, message, actions);
+    giveToTarget(now, key, message, actions);
     return assumed;
 }
 
-void StreamAgent::giveToTarget(const FlowKey &key, const StreamMessage &message, StreamActions &actions)
+void StreamAgent::giveToTarget(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions)
 {
+    m_givenAt = m_givenAt.value_or(now);
     const quint32 tag = m_nextTag++;
     m_nextTag = std::max<quint32>(m_nextTag, 1);
     Delivery &delivery = m_deliveries.at(tag % deliveryCount);
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "stream/answermeter.h"
 #include "stream/flowsearch.h"
 #include "stream/heldflow.h"
 #include "stream/loadmeter.h"
@@ -35,6 +36,7 @@
     void onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions) override;
     void onTick(TimePoint now, StreamActions &actions) override;
     TimePoint nextDeadline() const override;
+    void onTargetProbed(TimePoint now, bool isThere, StreamActions &actions) override;
     void onPause(TimePoint now) override;
     void beginStop(TimePoint now, StreamActions &actions) override;
     void onWithdrawn(TimePoint now) override;
@@ -47,9 +49,6 @@
 
     // Target and state
 
-    /// The target process has ended: its flows are over, and their callers are told.
-    void onTargetEnded(TimePoint now, StreamActions &actions);
-
     /// What is known of targets and routes.
     const TargetDirectory &directory() const
     {
@@ -76,6 +75,13 @@
     void onProbe(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions);
     void onLocate(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions);
 
+    // Target process
+    void onTargetHeard(TimePoint now, StreamActions &actions);
+    void endTarget(TimePoint now, StreamActions &actions);
+    void watchTarget(TimePoint now, StreamActions &actions);
+    TimePoint probeDeadline() const;
+    void tellLoad(TimePoint now, StreamActions &actions);
+
     // Packets of the target
     void onBounced(TimePoint now, const QByteArray &packet, const Segment &segment, StreamActions &actions);
     void onAnswer(TimePoint now, const FlowKey &key, HeldFlow &flow, const Segment &segment, StreamActions &actions);
@@ -93,7 +99,7 @@
     void passOpeningOn(const StreamMessage &message, const FlowKey &key, const QString &reason, StreamActions &actions);
     void deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions);
     HeldFlow &assume(TimePoint now, const FlowKey &key, const StreamMessage &message, const Segment &segment, StreamActions &actions);
-    void giveToTarget(const FlowKey &key, const StreamMessage &message, StreamActions &actions);
+    void giveToTarget(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     void denyFlow(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     void denyProbe(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions) const;
     void search(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
@@ -138,6 +144,11 @@
     TimePoint m_loadDeadline;
     TimePoint m_adoptionDeadline;
     Incarnation m_targetIncarnation{};
+    AnswerMeter m_answers;
+    /// When the target was given the first packet after it was heard last; nothing if it owes no answer.
+    std::optional<TimePoint> m_givenAt;
+    TimePoint m_probeDeadline{};
+    bool m_hasTargetEnded = false;
     std::optional<TimePoint> m_stopDeadline;
     TimePoint m_stopMinimumDeadline{};
 };
--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -43,6 +43,13 @@
     Duration waitPatience = 60ms;
     /// Share of a route's time-out that an opening may wait; the rest is for the request itself.
     double waitShare = 0.5;
+    /// A target that has sent nothing for this many service times after it was given a packet may have ended, and for the
+    /// time at least. With 40 ms for all, targets that take 30 ms for a request were probed several times a second, which
+    /// doubled the processor time of their agents.
+    double silencePatience = 4;
+    Duration silenceLimit = 60ms;
+    /// Time between two tries to connect to a silent or ended target.
+    Duration probeInterval = 100ms;
     /// How long a search for the target of a flow waits for the other agents.
     Duration searchTimeout = 400ms;
     /// Searches at the same time.
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -184,6 +184,11 @@
     return next;
 }
 
+void StreamBalancer::onTargetProbed(TimePoint /*now*/, bool /*isThere*/, StreamActions & /*actions*/)
+{
+    // Balancers stand beside no target.
+}
+
 void StreamBalancer::onPause(TimePoint /*now*/)
 {
     // Agents fence what an outdated balancer sends; nothing is to be held here.
@@ -302,7 +307,7 @@
     flow.forgetDeadline = now + (segment.has(FinFlag) || segment.has(RstFlag) ? m_settings.closingMemory : m_directory.routes()->idleTimeout());
 }
 
-std::vector<TargetId> StreamBalancer::candidatesFor(TimePoint now, const Route &route, const FlowKey &flow) const
+std::vector<TargetId> StreamBalancer::candidatesFor(TimePoint now, const Route &route, const FlowKey &flow)
 {
     quint64 total = 0;
     for (const ServiceShare &share : route.shares) {
@@ -404,7 +409,11 @@
     const bool isPresent =
         std::ranges::any_of(m_directory.entries(), [&flow](const auto &item) { return item.second.agent == flow.agent && item.second.isPresent(); });
     // A missing entry alone proves nothing while the agent beside the target still answers.
-    return !isPresent && !m_placement.isHeard(now, flow.target, m_settings.departedHearing);
+    if (isPresent || m_placement.isHeard(now, flow.target, m_settings.departedHearing)) {
+        return false;
+    }
+    // A target that this process has never seen listed may have lapsed before its start and be back soon.
+    return m_directory.find(flow.target) != nullptr || m_directory.isSettled(now);
 }
 
 void StreamBalancer::reset(const FlowKey &key, quint32 sequence, const QString &reason, EventNumber number, StreamActions &actions) const
--- a/packages/stream/streambalancer.h
+++ b/packages/stream/streambalancer.h
@@ -29,6 +29,7 @@
     void onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions) override;
     void onTick(TimePoint now, StreamActions &actions) override;
     TimePoint nextDeadline() const override;
+    void onTargetProbed(TimePoint now, bool isThere, StreamActions &actions) override;
     void onPause(TimePoint now) override;
     void beginStop(TimePoint now, StreamActions &actions) override;
     void onWithdrawn(TimePoint now) override;
@@ -83,7 +84,7 @@
 
     void onOpening(TimePoint now, const QByteArray &packet, const Segment &segment, const Route &route, StreamActions &actions);
     void onLaterSegment(TimePoint now, const QByteArray &packet, const Segment &segment, StreamActions &actions);
-    std::vector<TargetId> candidatesFor(TimePoint now, const Route &route, const FlowKey &flow) const;
+    std::vector<TargetId> candidatesFor(TimePoint now, const Route &route, const FlowKey &flow);
     void offerNext(TimePoint now, const FlowKey &key, Flow &flow, StreamActions &actions);
     void locate(TimePoint now, const FlowKey &key, Flow &flow, StreamActions &actions);
     bool retryOffer(TimePoint now, TimePoint deadline, const FlowKey &key, Flow &flow, StreamActions &actions);
--- a/packages/stream/streamdecisions.h
+++ b/packages/stream/streamdecisions.h
@@ -29,6 +29,9 @@
     /// When onTick() has something to do next; the duty calls it once a second besides.
     virtual TimePoint nextDeadline() const = 0;
 
+    /// A connection to the target was tried: whether its process is there.
+    virtual void onTargetProbed(TimePoint now, bool isThere, StreamActions &actions) = 0;
+
     /// The process was paused: what waited in its sockets has been thrown away.
     virtual void onPause(TimePoint now) = 0;
 
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -31,12 +31,13 @@
 
 QDataStream &operator<<(QDataStream &stream, const LoadReport &load)
 {
-    return stream << load.requestsInProgress << load.meanInProgressHundredths << load.flows << load.serviceMicroseconds << quint8{load.isClosed};
+    return stream << load.requestsInProgress << load.meanInProgressHundredths << load.flows << load.serviceMicroseconds << load.failurePermille
+                  << load.answerBytes << quint8{load.isClosed};
 }
 
 void readLoad(QDataStream &stream, LoadReport &load)
 {
-    stream >> load.requestsInProgress >> load.meanInProgressHundredths >> load.flows >> load.serviceMicroseconds;
+    stream >> load.requestsInProgress >> load.meanInProgressHundredths >> load.flows >> load.serviceMicroseconds >> load.failurePermille >> load.answerBytes;
     readWireBool(stream, load.isClosed);
 }
 
--- a/packages/stream/streamprocesssettings.h
+++ b/packages/stream/streamprocesssettings.h
@@ -20,6 +20,9 @@
     QString name;
     DaemonRole role = DaemonRole::Balancer;
     QString dataCentre;
+    /// Address that the sockets for our own processes are bound to where the network translates addresses; 0 if they are
+    /// bound where they are reached.
+    quint32 bindAddress = 0;
     /// Where messages of our own processes arrive (UDP). The port is the same for all agents.
     Endpoint messages;
     /// Where the network asks whether callers may be sent here (HTTP).
@@ -55,6 +58,12 @@
     double coldFactor = 1.0;
     double coldSlack = 0;
 
+    /// Where the socket for something that our own processes reach at @p endpoint is bound.
+    Endpoint boundAt(const Endpoint &endpoint) const
+    {
+        return bindAddress != 0 ? Endpoint{bindAddress, endpoint.port} : endpoint;
+    }
+
     bool operator==(const StreamProcessSettings &) const = default;
 };
 
--- a/packages/stream/streamprocesssettingsreader.cpp
+++ b/packages/stream/streamprocesssettingsreader.cpp
@@ -27,8 +27,23 @@
     settings.stopGrace = std::chrono::seconds(values.number(QStringLiteral("stop-grace-seconds"), 1, maximumGraceSeconds));
 }
 
+void readBindAddress(SectionReader &values, StreamProcessSettings &settings)
+{
+    const QString key = QStringLiteral("bind-address");
+    const QString text = values.optionalText(key);
+    if (text.isEmpty()) {
+        return;
+    }
+    if (const std::optional<Endpoint> bound = Endpoint::fromString(text + QStringLiteral(":1"))) {
+        settings.bindAddress = bound->address;
+        return;
+    }
+    values.report(key, QStringLiteral("\"%1\" is no address").arg(text), QStringLiteral("an IPv4 address"));
+}
+
 void readListen(SectionReader &values, StreamProcessSettings &settings)
 {
+    readBindAddress(values, settings);
     settings.messages = values.endpoint(QStringLiteral("messages"));
     settings.ready = values.endpoint(QStringLiteral("ready"));
     settings.metrics = values.endpoint(QStringLiteral("metrics"));
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -20,6 +20,7 @@
 
 void TargetDirectory::onTick(TimePoint now)
 {
+    m_firstStep = m_firstStep.value_or(now);
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         if (now < entry->second.listingDeadline) {
             ++entry;
@@ -105,6 +106,10 @@
             applyChange(now, DataCentreSwitched{change.revision, state.key(), false});
         }
     }
+    if (!m_isComplete && now - *m_firstStep > m_settings.promptReading) {
+        // The source was away when this process started; entries may have lapsed meanwhile.
+        m_settledDeadline = std::max(m_settledDeadline, now + m_settings.returnGrace);
+    }
     m_isComplete = true;
     ++m_generation;
 }
--- a/packages/stream/targetdirectory.h
+++ b/packages/stream/targetdirectory.h
@@ -146,6 +146,8 @@
     bool m_isComplete = false;
     bool m_isSourceAvailable = false;
     TimePoint m_settledDeadline{};
+    /// When this directory was used first.
+    std::optional<TimePoint> m_firstStep;
     quint64 m_generation = 0;
 };
 
--- /dev/null
+++ b/proof/soak/deployment.py
@@ -0,0 +1,340 @@
+"""A deployment on loopback: machines with real daemons, targets beside the agents, the store, and who may do what when."""
+
+import asyncio
+import dataclasses
+import os
+import signal
+import subprocess
+import time
+
+from . import segments
+from .callers import CALLERS_PORT, READY_PORT, Caller, Router
+from .history import COLD_FACTOR, COLD_SLACK, DRAIN_BOUND, OUT_BOUND, ROUTE_BOUND
+from .links import CONTROL_PORT, MESSAGE_PORT, SPREAD_PORT, Links
+from .store import PORT as STORE_PORT
+from .store import Store
+from .targets import APP_PORT, OUTBOUND_PORT, Target
+
+METRICS_PORT = 9464
+NETWORKS = {"public": 40, "local": 41, "callers": 42, "store": 43}
+ZONES = ("escale", "randoulene", "nguinth")
+SERVICES = ("counter", "records")
+COLD_RATE, COLD_SECONDS = 6, 2.0
+IDLE_TIMEOUT_MS = 8000
+STOP_GRACE = 6.0
+# A start takes 20 ms of processor time; the limit leaves room for a loaded machine.
+START_LIMIT = 20.0
+# A stall of the soak itself for longer means that the machine stood still: what it measures then is not the daemons.
+STALL_LIMIT = 0.3
+
+
+@dataclasses.dataclass(eq=False)
+class Machine:
+    name: str
+    role: str
+    zone: str
+    public: str
+    local: str
+    store: str
+    service: str = ""
+    target: Target = None
+    process: subprocess.Popen = None
+    # Set while the process is meant to be down.
+    is_down: bool = False
+
+
+class Deployment:
+    """Everything that one seed plays with."""
+
+    def __init__(self, history, random, slot, folder, daemons, size):
+        self.history, self.random, self.slot, self.folder, self.daemons = history, random, slot, folder, daemons
+        self.balancer_count, self.target_count = size
+        self.machines = []
+        self.callers = []
+        self.tasks = []
+        self._beat = 0
+        self._lives = 0
+        self._version = 0
+        # Per route: when it was added, and when it was dropped, as the store acknowledged it.
+        self.routes = {}
+        self.out_zones = {}
+        self.ever = set()
+        self._opened = {}
+        self._logs = []
+
+    def address(self, network, index):
+        return f"127.{NETWORKS[network]}.{self.slot}.{index + 1}"
+
+    def next_beat(self):
+        self._beat += 1
+        return self._beat
+
+    # Start and end
+
+    async def start(self):
+        self.store = Store(self.history, self.random)
+        self.links = Links(self.random)
+        self.router = Router(self)
+        for index in range(self.balancer_count + self.target_count):
+            is_balancer = index < self.balancer_count
+            role = "balancer" if is_balancer else "agent"
+            number = index if is_balancer else index - self.balancer_count
+            # The first service has twice the targets of the second, and each has one in every zone as far as they go.
+            service = "" if is_balancer else SERVICES[int(number % 3 == 2)]
+            machine = Machine(f"{role}-{number}", role, ZONES[number // 3 % 3 if not is_balancer else number % 3], self.address("public", index),
+                              self.address("local", index), self.address("store", index), service)
+            self.machines.append(machine)
+            await self.links.add(machine.name, machine.public, machine.local, is_balancer)
+            await self.store.listen(machine.name, machine.store)
+        for number, service in enumerate(SERVICES):
+            self.routes[(segments.address_number(f"198.18.0.{number + 1}"), 443)] = {"service": service, "added": 0, "dropped": None}
+        self.publish()
+        for machine in self.agents():
+            await self.start_target(machine, is_cold=False)
+        for machine in self.machines:
+            self.write_settings(machine)
+            self.launch(machine)
+        for machine in self.balancers():
+            self.tasks.append(self.router.add(machine))
+        self.tasks.append(asyncio.create_task(self._watch_processes()))
+        self.tasks.append(asyncio.create_task(self._watch_stalls()))
+        for index in range(4):
+            self.callers.append(Caller(self, index))
+        limit = self.history.clock() + START_LIMIT
+        while len(self.router.ready()) < self.balancer_count or not self.is_everyone_ready():
+            if self.history.clock() > limit:
+                self.history.violate("start", 0, "the balancers were not ready in time")
+                return
+            await asyncio.sleep(0.05)
+
+    def is_everyone_ready(self):
+        return all(misses == 0 for misses in self.router._misses.values())
+
+    async def end(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for machine in self.machines:
+            if machine.process and machine.process.poll() is None:
+                machine.process.send_signal(signal.SIGCONT)
+                machine.process.kill()
+                machine.process.wait()
+            if machine.target and machine.target.is_alive:
+                machine.target.crash()
+        for caller in self.callers:
+            caller.close()
+        self.links.close()
+        self.store.close()
+        for log in self._logs:
+            log.close()
+
+    def balancers(self):
+        return [machine for machine in self.machines if machine.role == "balancer"]
+
+    def agents(self):
+        return [machine for machine in self.machines if machine.role == "agent"]
+
+    # Processes
+
+    def write_settings(self, machine):
+        seeds = ",".join(f"{balancer.public}:{CONTROL_PORT}" for balancer in self.balancers()[:3])
+        lines = ["[process]", f"name = {machine.name}", f"role = {machine.role}", f"data-centre = {machine.zone}", "log-level = debug",
+                 f"stop-grace-seconds = {int(STOP_GRACE)}", "[listen]", f"bind-address = {machine.local}",
+                 f"callers = {machine.local}:{CALLERS_PORT}", f"messages = {machine.public}:{MESSAGE_PORT}",
+                 f"ready = {machine.local}:{READY_PORT}", f"metrics = {machine.local}:{METRICS_PORT}", f"spread = {machine.public}:{SPREAD_PORT}"]
+        if machine.role == "balancer":
+            lines += [f"control = {machine.public}:{CONTROL_PORT}"]
+        else:
+            lines += [f"outbound = {machine.local}:{OUTBOUND_PORT}"]
+        lines += ["[directory]", f"store = {machine.store}:{STORE_PORT}", f"seeds = {seeds}", "[flows]", "maximum-age-seconds = 60"]
+        if machine.role == "agent":
+            lines += ["[target]", f"address = {machine.public}:{APP_PORT}", f"service = {machine.service}", f"cold-factor = {COLD_FACTOR}",
+                      f"cold-slack = {COLD_SLACK}"]
+        (self.folder / f"{machine.name}.ini").write_text("\n".join(lines) + "\n")
+
+    def launch(self, machine):
+        if machine.is_down:
+            return
+        log = open(self.folder / f"{machine.name}.log", "ab")
+        self._logs.append(log)
+        command = [*self.daemons[machine.role], f"stream-{machine.role}", "--settings", str(self.folder / f"{machine.name}.ini")]
+        machine.process = subprocess.Popen(command, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    def signal(self, machine, number):
+        if machine.process and machine.process.poll() is None:
+            machine.process.send_signal(number)
+
+    async def stop(self, machine):
+        """A planned stop; a process that does not end in time is killed, and that is a violation."""
+        process = machine.process
+        machine.is_down = True
+        self.signal(machine, signal.SIGTERM)
+        limit = self.history.clock() + STOP_GRACE
+        while process and process.poll() is None:
+            if self.history.clock() > limit:
+                self.history.violate("grace", machine.name, f"{machine.name} did not end within {STOP_GRACE} s of SIGTERM")
+                process.kill()
+                process.wait()
+                break
+            await asyncio.sleep(0.02)
+        if process and process.returncode not in (0, -signal.SIGKILL):
+            self.history.violate("exit", machine.name, f"{machine.name} ended with {process.returncode} at a planned stop")
+
+    async def kill(self, machine, down_time):
+        self.history.disturb(machine.name, self.history.clock() + down_time)
+        if machine.process is None:
+            return
+        machine.is_down = True
+        self.signal(machine, signal.SIGKILL)
+        machine.process.wait()
+        await asyncio.sleep(down_time)
+        self.bring_back(machine)
+
+    def bring_back(self, machine):
+        if machine.process is None or machine.process.poll() is not None:
+            machine.is_down = False
+            self.launch(machine)
+
+    async def _watch_processes(self):
+        while True:
+            for machine in self.machines:
+                if not machine.is_down and machine.process and machine.process.poll() is not None:
+                    self.history.violate("exit", machine.name, f"{machine.name} ended by itself with {machine.process.returncode}")
+                    self.launch(machine)
+            await asyncio.sleep(0.05)
+
+    async def _watch_stalls(self):
+        while True:
+            begin = time.monotonic()
+            await asyncio.sleep(0.05)
+            if time.monotonic() - begin > 0.05 + STALL_LIMIT:
+                self.history.note("the soak itself stood still; bounds are not judged for a while")
+                self.history.disturb_all()
+                self.history.is_planned_only = False
+
+    # Targets
+
+    async def start_target(self, machine, is_cold=True, name=None):
+        self._lives += 1
+        target = Target(self, name or f"t{self._lives:04x}", machine, machine.service, 1_700_000_000_000 + self._lives * 1000)
+        target.cold_until = self.history.clock() + COLD_SECONDS if is_cold else 0
+        machine.target = target
+        await target.start()
+        self.store.put(f"servers/{target.name}", target.entry())
+        return target
+
+    async def replace_target(self, machine, hold, service=None):
+        """Drains the target, ends it and its agent, and starts another one at the same address."""
+        target = machine.target
+        if machine.is_down or not target.is_alive or target.state == "draining":
+            return
+        self.drain(target)
+        await asyncio.sleep(hold)
+        target.crash()
+        self.store.remove(f"servers/{target.name}")
+        await self.stop(machine)
+        # An address is used again two seconds later at the earliest.
+        await asyncio.sleep(2.0)
+        machine.service = service or machine.service
+        self.write_settings(machine)
+        await self.start_target(machine)
+        self.bring_back(machine)
+
+    def drain(self, target):
+        target.state = "draining"
+        self.store.put(f"servers/{target.name}", target.entry())
+        if self.store.is_stable():
+            target.draining_since = self.history.clock()
+
+    async def crash_target(self, machine, down_time, is_same, service=None):
+        """The target ends without a word; it comes back under its name, or another one takes its address."""
+        target = machine.target
+        if not target.is_alive or target.state == "draining" or machine.is_down:
+            return
+        self.history.disturb(machine.name, self.history.clock() + down_time)
+        target.crash()
+        if is_same:
+            await asyncio.sleep(down_time)
+            await self.start_target(machine, name=target.name)
+            return
+        machine.is_down = True
+        self.signal(machine, signal.SIGKILL)
+        await asyncio.sleep(max(down_time, 2.0))
+        self.store.remove(f"servers/{target.name}")
+        machine.service = service or machine.service
+        self.write_settings(machine)
+        await self.start_target(machine)
+        self.bring_back(machine)
+
+    # Configuration
+
+    def publish(self):
+        """Writes the routes in force as the next version."""
+        self._version += self.random.randint(1, 3)
+        routes = []
+        for (address, port), route in self.routes.items():
+            if route["dropped"] is None:
+                routes.append({"hostname": segments.address_text(address), "prefix": f"/{port}/", "service": route["service"], "type": "safe",
+                               "timeout-ms": 4000, "objective-ms": 500, "priority": 1})
+                self.ever.add(((address, port), route["service"]))
+        services = [{"name": service, "warmup-s": COLD_SECONDS, "warmup-per-s": COLD_RATE, "health-path": "/health"} for service in SERVICES]
+        self.store.put("op/config", {"version": self._version, "routes": routes, "services": services,
+                                     "limits": {"idle-timeout-ms": IDLE_TIMEOUT_MS}})
+
+    def add_route(self, number):
+        key = (segments.address_number("198.18.1.1"), 1000 + number)
+        self.routes[key] = {"service": SERVICES[number % 2], "added": self.history.clock(), "dropped": None}
+        self.publish()
+        return key
+
+    def drop_route(self, key):
+        self.routes[key]["dropped"] = self.history.clock()
+        self.publish()
+
+    def set_out(self, zone, is_out):
+        if is_out:
+            self.store.put(f"op/evacuate/{zone}", {})
+            self.out_zones[zone] = self.history.clock() if self.store.is_stable() else float("inf")
+        else:
+            self.store.remove(f"op/evacuate/{zone}")
+            self.out_zones.pop(zone, None)
+            for machine in self.agents():
+                if machine.zone == zone:
+                    machine.target.cold_until = self.history.clock() + COLD_SECONDS
+
+    # Judging
+
+    def may_serve(self, destination, service):
+        return (destination, service) in self.ever
+
+    def judge_opening(self, target, destination):
+        """A target takes an opening: whether it was to get one."""
+        now = self.history.clock()
+        target.openings.append(now)
+        while now - target.openings[0] > 1.0:
+            target.openings.popleft()
+        if now < target.cold_until and len(target.openings) > COLD_RATE * COLD_FACTOR + COLD_SLACK:
+            self.history.violate("cold", target.name, f"{target.name} is cold and got {len(target.openings)} openings in a second")
+        if not self.history.is_undisturbed(target.machine.name, *(balancer.name for balancer in self.balancers())):
+            return
+        if target.draining_since is not None and now - target.draining_since > DRAIN_BOUND:
+            self.history.violate("drain", target.name, f"{target.name} got an opening {now - target.draining_since:.2f} s after its drain")
+        out_since = self.out_zones.get(target.machine.zone)
+        if out_since is not None and now - out_since > OUT_BOUND:
+            self.history.violate("out", target.name, f"{target.name} got an opening {now - out_since:.2f} s after its data centre went out")
+        dropped = self.routes.get(destination, {}).get("dropped")
+        if dropped is not None and now - dropped > ROUTE_BOUND:
+            self.history.violate("route", destination, f"{target.name} got an opening {now - dropped:.2f} s after its route was dropped")
+
+    def flow_opened(self, key):
+        self._opened[key] = self.history.clock()
+
+    def judge_reset(self, key):
+        """A caller got a reset of the system's own on an open flow: no living target may hold it."""
+        if self.routes.get(key[1], {}).get("dropped") is not None:
+            return
+        for machine in self.agents():
+            if machine.target.holds(key):
+                age = self.history.clock() - self._opened.get(key, 0)
+                self.history.violate("flow", key, f"the flow from port {key[0][1]} was reset after {age:.2f} s although {machine.target.name} "
+                                                  f"beside {machine.name} holds it")
--- /dev/null
+++ b/proof/soak/run.py
@@ -0,0 +1,166 @@
+"""Plays one seed after another, several at a time as processes of their own, and says what was violated."""
+
+import argparse
+import asyncio
+import concurrent.futures
+import pathlib
+import random
+import shutil
+import socket
+import sys
+import time
+
+from .callers import TIMEOUT
+from .deployment import Deployment
+from .faults import Faults, make_plan
+from .history import RECOVERY_BOUND, History
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+LONG_CALLERS, LONG_PAUSE, SHORT_INTERVAL = 16, 0.4, 0.06
+# Faults may go on for this long after the last one begins; the rest of a run is calm.
+LONGEST_FAULT = 12.0
+# Every 20th short flow goes to a route that was added or dropped.
+EXTRA_ROUTE_SHARE = 0.05
+
+
+def claim_slot():
+    """A number of the loopback networks that no other run uses, and the socket that claims it."""
+    for slot in range(1, 255):
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind((f"127.44.{slot}.1", 7))
+            return slot, claim
+        except OSError:
+            claim.close()
+    raise RuntimeError("no loopback network is free")
+
+
+async def make_short_flows(deployment, end):
+    loop = asyncio.get_running_loop()
+    main_routes = list(deployment.routes)
+    open_requests = set()
+    while loop.time() < end:
+        caller = deployment.random.choice(deployment.callers)
+        if deployment.random.random() < EXTRA_ROUTE_SHARE:
+            route = deployment.random.choice(list(deployment.routes))
+            if deployment.routes[route]["dropped"] is not None:
+                task = asyncio.create_task(open_only(caller, route))
+            elif loop.time() - deployment.routes[route]["added"] > 3.0 or route in main_routes:
+                task = asyncio.create_task(caller.ask_once("download", route))
+            else:
+                continue
+        else:
+            kind = "unsafe" if deployment.random.random() < 0.7 else "download"
+            task = asyncio.create_task(caller.ask_once(kind, main_routes[0 if kind == "unsafe" else 1]))
+        open_requests.add(task)
+        task.add_done_callback(open_requests.discard)
+        await asyncio.sleep(SHORT_INTERVAL * (0.5 + deployment.random.random()))
+    if open_requests:
+        await asyncio.wait(open_requests, timeout=TIMEOUT + 1)
+
+
+async def open_only(caller, route):
+    flow, _ = await caller._open(route)
+    flow.end()
+
+
+async def play(seed, seconds, size, daemons, folder):
+    """Plays one seed; the history of it."""
+    generator = random.Random(seed)
+    loop = asyncio.get_running_loop()
+    history = History(loop.time)
+    slot, claim = claim_slot()
+    steps, is_planned_only = make_plan(generator, seconds)
+    history.is_planned_only = is_planned_only
+    deployment = Deployment(history, generator, slot, folder, daemons, size)
+    try:
+        await deployment.start()
+        start = loop.time()
+        faults = Faults(deployment)
+
+        async def later(step):
+            await asyncio.sleep(max(0, start + step.at - loop.time()))
+            await faults.play(step)
+
+        fault_tasks = [asyncio.create_task(later(step)) for step in steps]
+        fault_end = asyncio.create_task(asyncio.wait(fault_tasks, timeout=seconds + LONGEST_FAULT))
+        traffic_end = start + seconds + LONGEST_FAULT + RECOVERY_BOUND + 2
+        long_flows = [asyncio.create_task(deployment.callers[index % len(deployment.callers)].keep_asking(
+            list(deployment.routes)[0], LONG_PAUSE, traffic_end)) for index in range(LONG_CALLERS)]
+        short_flows = asyncio.create_task(make_short_flows(deployment, traffic_end))
+        await fault_end
+        for task in fault_tasks:
+            if task.done() and task.exception():
+                raise task.exception()
+        history.faults_end = loop.time()
+        history.note("all faults have ended")
+        # What remains of the run is calm; the longest fault rarely takes all of its time.
+        calm_end = loop.time() + RECOVERY_BOUND + 2
+        await asyncio.sleep(max(0, calm_end - loop.time()))
+        for task in (*long_flows, short_flows):
+            task.cancel()
+        await asyncio.gather(*long_flows, short_flows, return_exceptions=True)
+        history.judge_end()
+    finally:
+        await deployment.end()
+        claim.close()
+    return history, steps
+
+
+def run_seed(seed, options):
+    folder = pathlib.Path(options.output) / f"seed-{seed}"
+    shutil.rmtree(folder, ignore_errors=True)
+    folder.mkdir(parents=True)
+    daemons = {"balancer": [options.daemon], "agent": [options.agent or options.daemon]}
+    begin = time.monotonic()
+    history, steps = asyncio.run(play(seed, options.seconds, (options.balancers, options.targets), daemons, folder))
+    served = sum(request.result == "answered" for request in history.requests)
+    ended = sum(request.end is not None for request in history.requests)
+    plan = "\n".join(str(step) for step in steps)
+    (folder / "timeline.txt").write_text(f"plan of seed {seed}, planned only: {history.is_planned_only}\n{plan}\n\n" + "\n".join(history.timeline) + "\n")
+    if not history.violations and not options.keep:
+        shutil.rmtree(folder, ignore_errors=True)
+    kinds = ",".join(sorted({step.kind for step in steps}))
+    return seed, history.violations, f"seed {seed}: {served} of {ended} requests served, {len(history.violations)} violations, " \
+                                     f"{time.monotonic() - begin:.0f} s, faults: {kinds}"
+
+
+def parse(arguments):
+    parser = argparse.ArgumentParser(prog="tools/soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds to play")
+    parser.add_argument("--first", type=int, default=None, help="the first seed; without it, a fresh one")
+    parser.add_argument("--seed", type=int, action="append", default=[], help="a seed to play, instead of a row of them; may be repeated")
+    parser.add_argument("--seconds", type=float, default=10, help="time in which faults begin; a run takes up to 20 s more")
+    parser.add_argument("--processes", type=int, default=9, help="daemons of a run; a third of them are balancers")
+    parser.add_argument("--jobs", type=int, default=2, help="seeds played at the same time")
+    parser.add_argument("--daemon", default=str(ROOT / "build/apps/rattanpickd/rattanpickd"), help="the daemon of both roles")
+    parser.add_argument("--agent", default="", help="another program for the agents, to prove that the checks find what it does wrong")
+    parser.add_argument("--output", default=str(ROOT / "build/soak"), help="where logs and time lines of failed seeds go")
+    parser.add_argument("--keep", action="store_true", help="keep the logs of seeds that pass, too")
+    options = parser.parse_args(arguments)
+    options.balancers = max(1, options.processes // 3)
+    options.targets = max(3, options.processes - options.balancers)
+    return options
+
+
+def main(arguments=None):
+    options = parse(arguments)
+    first = options.first if options.first is not None else random.SystemRandom().randrange(1_000_000)
+    seeds = options.seed or list(range(first, first + options.seeds))
+    violations = 0
+    with concurrent.futures.ProcessPoolExecutor(max_workers=options.jobs) as pool:
+        for future in concurrent.futures.as_completed([pool.submit(run_seed, seed, options) for seed in seeds]):
+            seed, found, text = future.result()
+            violations += len(found)
+            print(text, flush=True)
+            for rule, detail in found:
+                print(f"  violation {rule}: {detail}")
+            if found:
+                print(f"  again: tools/soak --seed {seed} --seconds {options.seconds:g} --processes {options.processes}"
+                      f"{f' --agent {options.agent}' if options.agent else ''}   logs: {options.output}/seed-{seed}")
+    print(f"soak: seeds={len(seeds)} violations={violations}")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/proof/soak/targets.py
@@ -0,0 +1,209 @@
+"""Targets: each alone knows which flows it holds, and returns what it does not hold."""
+
+import asyncio
+import collections
+import dataclasses
+import socket
+
+from . import segments
+from .links import datagram_socket, drain
+from .segments import ACK, BOUNCED, FIN, RST, SYN, Segment, add, distance
+
+APP_PORT, OUTBOUND_PORT = 8080, 8173
+SLOTS, QUEUE = 5, 20
+FIRST_REPEAT, LONGEST_REPEAT, REPEATS = 0.2, 1.6, 8
+WINDOW = 16
+
+
+@dataclasses.dataclass
+class Flow:
+    key: tuple
+    sequence: int
+    expected: int
+    is_open: bool = False
+    has_ended: bool = False
+    received: bytes = b""
+    unacknowledged: collections.deque = dataclasses.field(default_factory=collections.deque)
+    waiting: collections.deque = dataclasses.field(default_factory=collections.deque)
+    repeat: asyncio.TimerHandle = None
+    repeats: int = 0
+
+
+class Target:
+    """One life of a target on the machine of an agent."""
+
+    def __init__(self, deployment, name, machine, service, born):
+        self.deployment, self.name, self.machine, self.service, self.born = deployment, name, machine, service, born
+        self.history = deployment.history
+        self.state = "ready"
+        self.is_alive = False
+        self.cold_until = 0
+        # When the store acknowledged the drain, if it did.
+        self.draining_since = None
+        self.openings = collections.deque()
+        self._flows = {}
+        self._busy = 0
+        self._queue = collections.deque()
+        self._loop = asyncio.get_running_loop()
+
+    async def start(self):
+        self._socket = datagram_socket(self.machine.public, APP_PORT)
+        self._loop.add_reader(self._socket, drain, self._socket, lambda packet, sender: self._receive(packet))
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((self.machine.public, APP_PORT))
+        self._server = await asyncio.start_server(lambda reader, writer: writer.close(), sock=self._listener)
+        self.is_alive = True
+
+    def crash(self):
+        """Ends at once; what it held is gone."""
+        self.is_alive = False
+        self._loop.remove_reader(self._socket)
+        self._socket.close()
+        self._server.close()
+        for flow in self._flows.values():
+            if flow.repeat:
+                flow.repeat.cancel()
+        self._flows.clear()
+
+    def holds(self, key):
+        flow = self._flows.get(key)
+        return self.is_alive and flow is not None and flow.is_open and not flow.has_ended
+
+    def entry(self):
+        cold = max(0, int((self.cold_until - self.history.clock()) * 1000))
+        return {"service": self.service, "address": f"{self.machine.public}:{APP_PORT}", "zone": self.machine.zone, "version": "1",
+                "slots": SLOTS, "state": self.state, "warmup-left-ms": cold, "seq": self.deployment.next_beat(), "born": self.born}
+
+    # Packets
+
+    def _send(self, packet):
+        try:
+            self._socket.sendto(packet, (self.machine.local, OUTBOUND_PORT))
+        except OSError:
+            # The agent beside it is down: the packet is lost.
+            pass
+
+    def _answer(self, flow, flags, data=b"", sequence=None):
+        caller, route = flow.key
+        self._send(Segment(route, caller, flags, flow.sequence if sequence is None else sequence, flow.expected, data).encode())
+
+    def _receive(self, packet):
+        segment = segments.decode(packet)
+        key = (segment.source, segment.destination)
+        if not segment.is_genuine():
+            self.history.violate("changed", key, f"{self.name} got a packet that its caller did not write so")
+            return
+        if not self.deployment.may_serve(segment.destination, self.service):
+            self.history.violate("service", key, f"{self.name} of {self.service} got a packet for {segment.destination}")
+        if segment.flags & SYN:
+            self._open(key, segment)
+            return
+        flow = self._flows.get(key)
+        if flow is None or (not flow.is_open and segment.acknowledgement != flow.sequence):
+            self._send(segment.encode(segment.tag, segment.flags | BOUNCED))
+            return
+        flow.is_open = True
+        if segment.flags & RST:
+            self._end(flow)
+            self._flows.pop(key, None)
+            return
+        if flow.has_ended:
+            self._answer(flow, RST if segment.data else ACK)
+            return
+        self._acknowledge(flow, segment.acknowledgement)
+        if segment.data:
+            self._take_data(flow, segment)
+        if segment.flags & FIN:
+            flow.expected = add(flow.expected, 1)
+            self._answer(flow, FIN | ACK)
+            self._end(flow)
+
+    def _open(self, key, segment):
+        if segment.flags & ACK:
+            self.history.violate("forged", key, f"{self.name} got an answer to an opening")
+            return
+        flow = self._flows.get(key)
+        if flow is None:
+            self.deployment.judge_opening(self, segment.destination)
+            flow = Flow(key, self.deployment.random.getrandbits(32), add(segment.sequence, 1))
+            flow.sequence = add(flow.sequence, 1)
+            self._flows[key] = flow
+        self._answer(flow, SYN | ACK, sequence=add(flow.sequence, -1))
+
+    def _acknowledge(self, flow, acknowledgement):
+        while flow.unacknowledged and distance(acknowledgement, add(flow.unacknowledged[0][0], len(flow.unacknowledged[0][1]))) >= 0:
+            flow.unacknowledged.popleft()
+            flow.repeats = 0
+        self._push(flow)
+
+    def _take_data(self, flow, segment):
+        if segment.sequence == flow.expected:
+            flow.expected = add(flow.expected, len(segment.data))
+            flow.received += segment.data
+            while len(flow.received) >= segments.REQUEST.size:
+                number, kind, length = segments.REQUEST.unpack_from(flow.received)
+                if len(flow.received) < segments.REQUEST.size + kind:
+                    break
+                flow.received = flow.received[segments.REQUEST.size + kind:]
+                self._request(flow, number, length)
+        self._answer(flow, ACK)
+
+    # Requests
+
+    def _request(self, flow, number, length):
+        if self._busy < SLOTS:
+            self._run(flow, number, length)
+        elif len(self._queue) < QUEUE:
+            self._queue.append((flow, number, length))
+        else:
+            self._reply(flow, segments.ANSWER.pack(number, segments.NOT_RUN, 0))
+
+    def _run(self, flow, number, length):
+        self._busy += 1
+        self.history.run(number, self.name)
+        work = 0.005 + self.deployment.random.random() * 0.03
+        self._loop.call_later(work, self._complete, flow, number, length)
+
+    def _complete(self, flow, number, length):
+        if not self.is_alive:
+            return
+        self._busy -= 1
+        self._reply(flow, segments.ANSWER.pack(number, segments.ANSWERED, length) + segments.body(number, length))
+        if self._queue:
+            self._run(*self._queue.popleft())
+
+    def _reply(self, flow, text):
+        for begin in range(0, len(text), segments.MAXIMUM_DATA):
+            flow.waiting.append(text[begin:begin + segments.MAXIMUM_DATA])
+        self._push(flow)
+
+    def _push(self, flow):
+        while flow.waiting and len(flow.unacknowledged) < WINDOW and not flow.has_ended:
+            data = flow.waiting.popleft()
+            flow.unacknowledged.append((flow.sequence, data))
+            self._answer(flow, ACK, data)
+            flow.sequence = add(flow.sequence, len(data))
+        if flow.unacknowledged and flow.repeat is None:
+            flow.repeat = self._loop.call_later(FIRST_REPEAT, self._repeat, flow, FIRST_REPEAT)
+
+    def _repeat(self, flow, interval):
+        flow.repeat = None
+        if not flow.unacknowledged or not self.is_alive or flow.has_ended:
+            return
+        flow.repeats += 1
+        if flow.repeats > REPEATS:
+            self._end(flow)
+            return
+        for sequence, data in flow.unacknowledged:
+            self._answer(flow, ACK, data, sequence)
+        longer = min(interval * 2, LONGEST_REPEAT)
+        flow.repeat = self._loop.call_later(longer, self._repeat, flow, longer)
+
+    def _end(self, flow):
+        flow.has_ended = True
+        if flow.repeat:
+            flow.repeat.cancel()
+            flow.repeat = None
+        flow.unacknowledged.clear()
+        flow.waiting.clear()
--- a/tests/stream/placementtest.cpp
+++ b/tests/stream/placementtest.cpp
@@ -28,14 +28,14 @@
         }
     }
 
-    std::vector<TargetId> order(TimePoint now = start) const
+    std::vector<TargetId> order(TimePoint now = start)
     {
         return m_placement.order(now, m_directory, service, flow, 8);
     }
 
     static LoadReport load(quint16 inProgress, quint32 serviceMicroseconds, bool isClosed = false)
     {
-        return {inProgress, static_cast<quint16>(inProgress * 100), 10, serviceMicroseconds, isClosed};
+        return {inProgress, static_cast<quint16>(inProgress * 100), 10, serviceMicroseconds, 0, 0, isClosed};
     }
 
     TargetDirectory m_directory;
@@ -108,3 +108,26 @@
     EXPECT_EQ(order(start + 500ms).size(), 4);
     EXPECT_TRUE(order(start + 1s).empty());
 }
+
+// Guards against a target that fails its requests at once and draws all flows, since it looks fast and idle.
+TEST_F(PlacementTest, FailingTargetsGetFlowsLast)
+{
+    for (const int index : {1, 3, 6}) {
+        m_placement.onLoad(start, target(index).id, {4, 400, 10, 30'000, 0, 900, false});
+    }
+    m_placement.onLoad(start, target(9).id, {0, 0, 10, 2'000, 500, 900, false});
+    EXPECT_EQ(order().back(), target(9).id);
+    // A target that answers errors from the start on has no usual answers of its own: the others' show it.
+    m_placement.onLoad(start, target(9).id, {0, 0, 10, 2'000, 0, 120, false});
+    EXPECT_EQ(order().back(), target(9).id);
+}
+
+// Guards against flows that leave a good target after a single failed request, such as one that a restart cut off.
+TEST_F(PlacementTest, OneFailureIsNoEvidence)
+{
+    for (const int index : {1, 6, 9}) {
+        m_placement.onLoad(start, target(index).id, {3, 300, 10, 30'000, 0, 900, false});
+    }
+    m_placement.onLoad(start, target(3).id, {1, 100, 10, 30'000, 80, 900, false});
+    EXPECT_EQ(order().front(), target(3).id);
+}
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -86,6 +86,11 @@
         return receive(now, denial);
     }
 
+    static bool probesTarget(const StreamActions &actions)
+    {
+        return std::ranges::any_of(actions, [](const StreamAction &action) { return std::holds_alternative<ProbeStreamTarget>(action); });
+    }
+
     void open(TimePoint now)
     {
         receive(now, message(StreamMessageKind::Opening, callerSegment(SynFlag)));
@@ -319,3 +324,104 @@
     EXPECT_EQ(m_agent.load(settled + 200ms).requestsInProgress, 0);
     EXPECT_EQ(m_agent.load(settled + 200ms).serviceMicroseconds, 20'000);
 }
+
+// Guards against callers that wait in silence for the answer of a target whose process has ended.
+TEST_F(StreamAgentTest, FlowsOfAnEndedTargetAreReset)
+{
+    open(settled);
+    receive(settled + 10ms, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1001, 100)));
+    StreamActions actions;
+    m_agent.onTick(settled + 80ms, actions);
+    EXPECT_FALSE(probesTarget(actions)) << "the target may still work on the request";
+    m_agent.onTick(settled + 110ms, actions);
+    EXPECT_TRUE(probesTarget(actions));
+    actions.clear();
+    m_agent.onTargetProbed(settled + 111ms, false, actions);
+    EXPECT_TRUE(resetsCaller(actions));
+    EXPECT_EQ(messages(actions, StreamMessageKind::Ended).size(), 1);
+    const StreamActions passed = receive(settled + 120ms, message(StreamMessageKind::Opening, callerSegment(SynFlag), {target(2).id}));
+    EXPECT_TRUE(segments<SendToStreamTarget>(passed).empty());
+    EXPECT_EQ(messages(passed, StreamMessageKind::Opening).size(), 1);
+}
+
+// Guards against a started target that gets no flows, since the earlier one on its machine had ended.
+TEST_F(StreamAgentTest, NextTargetGetsFlowsAfterAnEnd)
+{
+    StreamActions actions;
+    m_agent.onTargetProbed(settled, false, actions);
+    actions.clear();
+    m_agent.onTick(settled + 1s, actions);
+    EXPECT_TRUE(probesTarget(actions));
+    m_agent.onTargetProbed(settled + 1s, true, actions);
+    const StreamActions given = receive(settled + 1s, message(StreamMessageKind::Opening, callerSegment(SynFlag), {target(2).id}));
+    EXPECT_EQ(segments<SendToStreamTarget>(given).size(), 1);
+}
+
+// Guards against resets of open flows because a slow target was silent: it accepts connections.
+TEST_F(StreamAgentTest, SilentTargetThatIsThereKeepsItsFlows)
+{
+    open(settled);
+    receive(settled + 10ms, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1001, 100)));
+    StreamActions actions;
+    m_agent.onTick(settled + 110ms, actions);
+    ASSERT_TRUE(probesTarget(actions));
+    actions.clear();
+    m_agent.onTargetProbed(settled + 111ms, true, actions);
+    EXPECT_TRUE(actions.empty());
+    m_agent.onTick(settled + 500ms, actions);
+    EXPECT_FALSE(probesTarget(actions)) << "it was found alive, and nothing was given to it since";
+}
+
+// Guards against a machine that is stopped late: with its target gone there is no request to wait for.
+TEST_F(StreamAgentTest, PlannedStopEndsAtOnceBesideAnEndedTarget)
+{
+    open(settled);
+    receive(settled, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1001, 100)));
+    StreamActions actions;
+    m_agent.beginStop(settled + 10ms, actions);
+    EXPECT_TRUE(probesTarget(actions));
+    EXPECT_FALSE(m_agent.isStopped(settled + 20ms));
+    m_agent.onTargetProbed(settled + 20ms, false, actions);
+    EXPECT_TRUE(m_agent.isStopped(settled + 20ms));
+}
+
+// Guards against an agent that spends its processor time on probes of a target which takes its time for each request.
+TEST_F(StreamAgentTest, SlowTargetsAreGivenTheirTime)
+{
+    open(settled);
+    quint32 sequence = 2;
+    TimePoint now = settled;
+    for (int number = 0; number < 5; ++number) {
+        receive(now, message(StreamMessageKind::Deliver, callerSegment(AckFlag, sequence, 1001, 100)));
+        sequence += 100;
+        now += 50ms;
+        fromTarget(now, targetSegment(AckFlag, 1001, 500));
+    }
+    receive(now, message(StreamMessageKind::Deliver, callerSegment(AckFlag, sequence, 1001, 100)));
+    StreamActions actions;
+    m_agent.onTick(now + 190ms, actions);
+    EXPECT_FALSE(probesTarget(actions));
+    m_agent.onTick(now + 210ms, actions);
+    EXPECT_TRUE(probesTarget(actions));
+}
+
+// Guards against good targets that are avoided: the last segment of a flow may overtake the answer before it.
+TEST_F(StreamAgentTest, AnEndThatOvertakesTheAnswerIsNoFailure)
+{
+    open(settled);
+    receive(settled, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1001, 100)));
+    fromTarget(settled + 30ms, targetSegment(FinFlag | AckFlag, 1501));
+    fromTarget(settled + 30ms, targetSegment(AckFlag, 1001, 500));
+    EXPECT_EQ(m_agent.load(settled + 30ms).failurePermille, 0);
+    EXPECT_EQ(m_agent.load(settled + 30ms).requestsInProgress, 0);
+}
+
+// Guards against a target that ends flows in place of answers and still gets new ones.
+TEST_F(StreamAgentTest, AnEndInPlaceOfTheAnswerIsAFailure)
+{
+    open(settled);
+    receive(settled, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1001, 100)));
+    fromTarget(settled + 1ms, targetSegment(FinFlag | AckFlag, 1001));
+    EXPECT_GT(m_agent.load(settled + 1ms).failurePermille, 0);
+    EXPECT_EQ(m_agent.load(settled + 1ms).requestsInProgress, 0);
+}
--- a/tests/stream/streambalancertest.cpp
+++ b/tests/stream/streambalancertest.cpp
@@ -79,6 +79,23 @@
 
 }
 
+// Guards against resets of flows whose target lapsed from the directory before this process started, while the source is
+// away (found by the soak, seed 11).
+TEST_F(StreamBalancerTest, FlowsOfTargetsNeverListedAreKeptWhileTheDirectoryIsUnsettled)
+{
+    apply({SourceSwitched{false, {}}});
+    packet(start, callerSegment(AckFlag, 2, 1001, 100));
+    tell(start, StreamMessageKind::Held, 7);
+    const StreamActions actions = packet(start + 3s, callerSegment(AckFlag, 102, 1501, 100));
+    EXPECT_FALSE(resetsCaller(actions));
+    ASSERT_EQ(messages(actions, StreamMessageKind::Deliver).size(), 1);
+    EXPECT_EQ(messages(actions, StreamMessageKind::Deliver).front().to, agentAddress(7));
+    // Two seconds after the source is back, an entry that is still missing belongs to a target that is gone.
+    apply({SourceSwitched{true, {}}}, start + 4s);
+    EXPECT_FALSE(resetsCaller(packet(start + 5s, callerSegment(AckFlag, 102, 1501, 100))));
+    EXPECT_TRUE(resetsCaller(packet(start + 7s, callerSegment(AckFlag, 102, 1501, 100))));
+}
+
 // Guards against a flow whose later packets go to another target than its opening.
 TEST_F(StreamBalancerTest, LaterPacketsFollowTheOpening)
 {
--- a/tests/stream/streammessagecodectest.cpp
+++ b/tests/stream/streammessagecodectest.cpp
@@ -39,6 +39,8 @@
                         *rc::gen::arbitrary<quint16>(),
                         *rc::gen::arbitrary<quint16>(),
                         *rc::gen::arbitrary<quint32>(),
+                        *rc::gen::arbitrary<quint16>(),
+                        *rc::gen::arbitrary<quint16>(),
                         *rc::gen::arbitrary<bool>()};
     }
     return message;
--- a/tests/stream/streamprocesssettingsreadertest.cpp
+++ b/tests/stream/streamprocesssettingsreadertest.cpp
@@ -52,6 +52,22 @@
     EXPECT_TRUE(settings->control.isNull());
 }
 
+// Guards against a process behind translated addresses that cannot bind, and against a wrong address that is ignored.
+TEST(StreamProcessSettingsReaderTest, SocketsForOtherProcessesAreBoundWhereTheSettingsSay)
+{
+    QByteArray text = agentText;
+    text.replace("[listen]\n", "[listen]\nbind-address = 192.168.7.9\n");
+    StreamProcessSettingsReader reader(QStringLiteral("agent.ini"));
+    const std::optional<StreamProcessSettings> settings = reader.read(text);
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->boundAt(settings->messages), *Endpoint::fromString(QStringLiteral("192.168.7.9:7720")));
+    EXPECT_EQ(settings->messages, *Endpoint::fromString(QStringLiteral("10.1.0.12:7720")));
+    text.replace("192.168.7.9", "192.168.7");
+    EXPECT_FALSE(reader.read(text));
+    ASSERT_EQ(reader.findings().size(), 1);
+    EXPECT_EQ(reader.findings().first().place.line, 7);
+}
+
 // Guards against a reader that stops at the first fault, or that names no place.
 TEST(StreamProcessSettingsReaderTest, ReportsEveryFaultWithItsPlace)
 {
--- a/tests/stream/targetdirectorytest.cpp
+++ b/tests/stream/targetdirectorytest.cpp
@@ -96,6 +96,20 @@
     EXPECT_FALSE(directory.find(target(2).id)->isPresent());
 }
 
+// Guards against resets of flows whose targets lapsed during an outage in which this process started, and against callers
+// that wait in silence after each start.
+TEST(TargetDirectoryTest, FirstReadingsAfterAnOutageAreJudgedLater)
+{
+    TargetDirectory late({.agentPort = agentPort});
+    late.onTick(start);
+    for (const DirectoryChange &change : reading({target(1)})) {
+        late.apply(start + 3s, change);
+    }
+    EXPECT_FALSE(late.isSettled(start + 4s));
+    EXPECT_TRUE(late.isSettled(start + 5s));
+    EXPECT_TRUE(directoryWith(reading({target(1)})).isSettled(start));
+}
+
 // Guards against a living target that is given up since the source has dropped its entry, and against one that is
 // believed alive for long after its entry has gone.
 TEST(TargetDirectoryTest, RemovedEntriesAreGoneAfterAGrace)
