Keep searches within a budget; find targets that start after their agent

Cause: after a loss of all power every open flow is looked for at once, and each search asks every agent, which asks its target.

Change: FlowSearch gives out a bounded number of probes a second and leaves the rest to the callers' next copies. An agent looks at its start whether its target is there; one that comes later holds no flow from before, so that the agent answers for it.

--- a/packages/stream/flowsearch.cpp
+++ b/packages/stream/flowsearch.cpp
@@ -20,7 +20,7 @@
     }
     const RouteTablePointer &routes = m_directory.routes();
     const Route *route = routes != nullptr ? routes->findRoute(flow.service) : nullptr;
-    if (route == nullptr || m_searches.size() >= m_settings.searchLimit) {
+    if (route == nullptr || m_searches.size() >= m_settings.searchLimit || !hasBudget(now)) {
         return;
     }
     Search search;
@@ -44,6 +44,7 @@
             search.unlisted.insert(id);
         }
     }
+    m_budget -= static_cast<double>(asked.size());
     probe(asked, message, actions);
     m_deadlines.emplace_back(now + m_settings.searchTimeout, flow);
     m_searches.emplace(flow, std::move(search));
@@ -70,6 +71,14 @@
     }
 }
 
+bool FlowSearch::hasBudget(TimePoint now)
+{
+    const double elapsed = std::chrono::duration<double>(now - m_budgetAt).count();
+    m_budget = std::min(m_settings.searchProbesAtOnce, m_budget + elapsed * m_settings.searchProbesPerSecond);
+    m_budgetAt = now;
+    return m_budget > 0;
+}
+
 FlowSearch::Outcome FlowSearch::onNotHeld(TimePoint now, const FlowKey &flow, TargetId target, bool isUnsettled)
 {
     const auto found = m_searches.find(flow);
--- a/packages/stream/flowsearch.h
+++ b/packages/stream/flowsearch.h
@@ -74,6 +74,7 @@
         bool isExhaustive = false;
     };
 
+    bool hasBudget(TimePoint now);
     bool isDenied(TimePoint now, const Search &search) const;
     void probe(const std::set<TargetId> &targets, const StreamMessage &message, StreamActions &actions) const;
 
@@ -83,6 +84,9 @@
     std::deque<std::pair<TimePoint, FlowKey>> m_deadlines;
     /// Searches that wait for unlisted targets alone.
     std::deque<std::pair<TimePoint, FlowKey>> m_verdicts;
+    /// Probes that may be sent now; below 0 after a search that took more than was left.
+    double m_budget = 0;
+    TimePoint m_budgetAt{};
 };
 
 }
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -402,7 +402,8 @@
 
 TimePoint StreamAgent::probeDeadline() const
 {
-    if (m_hasTargetEnded) {
+    if (m_hasTargetEnded || m_probeDeadline == TimePoint{}) {
+        // Also at the start: a target that is not there yet holds no flow from before, and its agent need not ask it.
         return m_probeDeadline;
     }
     if (!m_givenAt) {
--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -54,6 +54,11 @@
     Duration searchTimeout = 400ms;
     /// How long a search waits for targets whose entries have gone for good; several round trips between data centres.
     Duration unlistedTimeout = 60ms;
+    /// Packets that searches give to other agents in a second, and at once after a while without searches. Every agent gets
+    /// about as many from all others together, and each costs it some 70 us; beyond, no time was left for openings after a
+    /// loss of all power. Callers repeat what is left out.
+    double searchProbesPerSecond = 1500;
+    double searchProbesAtOnce = 300;
     /// Searches at the same time.
     std::size_t searchLimit = 512;
     /// How long a flow is kept after both ends have finished, for repeated last segments.
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -18,6 +18,9 @@
     StreamAgentTest()
         : m_agent(settings(), m_format, start)
     {
+        // The probe of the start finds the target.
+        m_agent.onTick(start, m_ignored);
+        m_agent.onTargetProbed(start, true, m_ignored);
         apply(reading({target(1), target(2), target(3)}));
     }
 
@@ -498,3 +501,41 @@
     ASSERT_EQ(messages(answered, StreamMessageKind::Load).size(), 1);
     EXPECT_EQ(messages(answered, StreamMessageKind::Load).front().message.target, target(1).id);
 }
+
+// Guards against callers that wait for searches at targets that cannot hold their flows: a target that was not there when
+// the agent started holds none from before.
+TEST_F(StreamAgentTest, TargetsThatStartAfterTheirAgentAreNotAsked)
+{
+    StreamAgent agent(settings(), m_format, settled);
+    StreamActions actions;
+    agent.onTick(settled, actions);
+    EXPECT_TRUE(probesTarget(actions));
+    agent.onTargetProbed(settled, false, actions);
+    agent.onTargetProbed(settled + 200ms, true, actions);
+    for (const DirectoryChange &change : reading({target(1), target(2), target(3)})) {
+        agent.onDirectoryChange(settled + 200ms, change, actions);
+    }
+    actions.clear();
+    agent.onMessage(settled + 300ms, message(StreamMessageKind::Probe, callerSegment(AckFlag, 2, 1001, 100)), actions);
+    EXPECT_TRUE(segments<SendToStreamTarget>(actions).empty());
+    EXPECT_EQ(messages(actions, StreamMessageKind::NotHeld).size(), 1);
+}
+
+// Load: after a loss of all power, hundreds of flows that no target holds are looked for at once. Guards against agents
+// that have no time for openings; a search that was left out begins with the caller's next copy.
+TEST_F(StreamAgentTest, SearchesKeepToTheirBudget)
+{
+    const auto search = [this](TimePoint now, int first, int count) {
+        int probes = 0;
+        for (int number = first; number < first + count; ++number) {
+            const FlowKey key{{caller.address, static_cast<quint16>(1024 + number)}, route};
+            probes += static_cast<int>(
+                messages(receive(now, message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100, key))), StreamMessageKind::Probe).size());
+        }
+        return probes;
+    };
+    const StreamAgentSettings defaults;
+    EXPECT_LE(search(settled, 0, 400), defaults.searchProbesAtOnce + 2);
+    EXPECT_EQ(search(settled, 400, 1), 0);
+    EXPECT_EQ(search(settled + 100ms, 400, 1), 2);
+}
