Count no failures for flows from before a start; start the Lamport clock at the wall clock

Restarted agents took requests whose answers had passed before for running (15 to 23 at targets of 2 slots) and for failed, and requests that waited in a busy target for failed; openings then waited or went elsewhere. Traces over such a restart were out of order, since every Lamport clock began at 1.

Change: the end of a flow that was opened before the agent's start ends its request without a verdict; an unanswered request counts as failed only if the target had no others waiting. Processes on the platform begin their Lamport clock at the wall clock.

--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -15,6 +15,7 @@
 #include <platform/segmentcodec.h>
 #include <platform/storesource.h>
 
+#include <QDateTime>
 #include <QFile>
 
 #include <csignal>
@@ -104,6 +105,7 @@
     EventLogSettings logSettings;
     logSettings.process = settings->name;
     logSettings.eventsKept = keptEvents;
+    logSettings.lamportStart = static_cast<quint64>(QDateTime::currentMSecsSinceEpoch());
     logSettings.budget = LogBudget();
     LogDuty logs(settings->name);
     logSettings.sink = [&logs](const Event &event) {
--- a/packages/core/eventlog.cpp
+++ b/packages/core/eventlog.cpp
@@ -39,6 +39,7 @@
     : m_settings(settings)
 {
     RP_ASSERT(m_settings.eventsKept > 0);
+    m_clock.merge(m_settings.lamportStart);
     if (!m_settings.wallClock) {
         m_settings.wallClock = [] {
             return QDateTime::currentMSecsSinceEpoch();
--- a/packages/stream/placement.cpp
+++ b/packages/stream/placement.cpp
@@ -1,7 +1,7 @@
 #include "stream/placement.h"
 
 #include <algorithm>
-#include <ranges>
+#include <span>
 
 namespace Rattanpick
 {
@@ -101,12 +101,12 @@
         choices = std::move(draining);
     }
     // The hash spreads the flows of equally loaded targets, each balancer's alike.
-    const auto count = static_cast<std::ptrdiff_t>(std::min(limit, choices.size()));
-    std::ranges::partial_sort(choices, choices.begin() + count, [](const Choice &a, const Choice &b) {
+    const std::size_t count = std::min(limit, choices.size());
+    std::ranges::partial_sort(choices, choices.begin() + static_cast<std::ptrdiff_t>(count), [](const Choice &a, const Choice &b) {
         return std::tuple(a.rank, a.cost, a.hash) < std::tuple(b.rank, b.cost, b.hash);
     });
     std::vector<TargetId> ordered;
-    for (const Choice &choice : choices | std::views::take(count)) {
+    for (const Choice &choice : std::span(choices).first(count)) {
         ordered.push_back(choice.id);
     }
     return ordered;
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -480,8 +480,9 @@
         actions.emplace_back(SendStreamMessage{flow.balancer, std::move(held)});
     }
     const bool isOver = segment.has(RstFlag);
-    // The network may reorder segments: an end behind data that was not seen yet comes with an answer.
-    const bool hasEndedEmpty = segment.has(FinFlag) && flow.hasTargetSequence && segment.sequence == flow.targetEnd;
+    // The network may reorder segments: an end behind data that was not seen yet comes with an answer. Of a flow from before
+    // the start of this process nothing is known, and its answer may have passed before.
+    const bool hasEndedEmpty = segment.has(FinFlag) && (!flow.hasTargetSequence || segment.sequence == flow.targetEnd);
     if (flow.requestStart && (segment.dataLength > 0 || isOver || hasEndedEmpty)) {
         if (segment.dataLength > 0) {
             m_meter.answer(now, now - *flow.requestStart, flow.isServiceSample);
@@ -489,7 +490,9 @@
             actions.emplace_back(RecordStreamTime{StreamTimer::Request, now - *flow.requestStart});
         } else {
             m_meter.abandon(now);
-            m_answers.failed(now);
+            if (flow.hasTargetSequence) {
+                m_answers.failed(now);
+            }
         }
         flow.requestStart.reset();
     }
@@ -589,8 +592,12 @@
         HeldFlow *flow = find(key);
         if (flow != nullptr && flow->requestStart == begin) {
             flow->requestStart.reset();
+            // Requests that wait in a busy target are late, not failed.
+            const bool isFailure = flow->hasTargetSequence && m_meter.inProgress() <= m_slotCount;
             m_meter.abandon(now);
-            m_answers.failed(now);
+            if (isFailure) {
+                m_answers.failed(now);
+            }
         }
     }
 }
--- a/tests/core/eventlogtest.cpp
+++ b/tests/core/eventlogtest.cpp
@@ -57,6 +57,17 @@
     EXPECT_EQ(log.tick(), 103U);
 }
 
+// Guards against traces in which what followed a restart of every process comes before it.
+TEST(EventLogTest, ClockBeginsWhereTheSettingsSay)
+{
+    EventLogSettings settings = settingsFor(10);
+    settings.lamportStart = 1'700'000'000'000;
+    EventLog log(settings);
+    EXPECT_GT(log.record(EventNumber::ProcessStarted).lamport, settings.lamportStart);
+    log.merge(100);
+    EXPECT_GT(log.tick(), settings.lamportStart);
+}
+
 // Guards against unbounded memory and against losing events without saying so.
 TEST(EventLogTest, KeepsTheLatestAndCountsTheRest)
 {
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -539,3 +539,31 @@
     EXPECT_EQ(search(settled, 400, 1), 0);
     EXPECT_EQ(search(settled + 100ms, 400, 1), 2);
 }
+
+// Guards against a restarted agent that takes its target for busy or failing: answers from before its start are not seen.
+TEST_F(StreamAgentTest, FlowsFromBeforeTheStartAreNoFailures)
+{
+    fromTarget(settled, targetSegment(AckFlag, 1501, 100));
+    receive(settled, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1601, 100)));
+    EXPECT_EQ(m_agent.load(settled).requestsInProgress, 1);
+    fromTarget(settled + 1ms, targetSegment(FinFlag | AckFlag, 1601));
+    EXPECT_EQ(m_agent.load(settled + 1ms).requestsInProgress, 0);
+    EXPECT_EQ(m_agent.load(settled + 1ms).failurePermille, 0);
+}
+
+// Load: after a restart of everything more requests come than a target works on. Guards against a target that is avoided as
+// failing because its requests wait.
+TEST_F(StreamAgentTest, RequestsThatWaitInABusyTargetAreNoFailures)
+{
+    constexpr int requests = 8;
+    for (int number = 0; number < requests; ++number) {
+        const FlowKey key{{caller.address, static_cast<quint16>(1024 + number)}, route};
+        receive(settled, message(StreamMessageKind::Opening, callerSegment(SynFlag, 1, 0, 0, key)));
+        fromTarget(settled, targetSegment(SynFlag | AckFlag, 1000, 0, key));
+        receive(settled, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1001, 100, key)));
+    }
+    StreamActions actions;
+    m_agent.onTick(settled + 1s, actions);
+    // Only the requests that had a slot to themselves and were not answered count.
+    EXPECT_LE(m_agent.load(settled + 1s).failurePermille, 200);
+}
