--- a/proof/soak/run.py
+++ b/proof/soak/run.py
@@ -133,6 +133,7 @@
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds to play")
     parser.add_argument("--first", type=int, default=None, help="the first seed; without it, a fresh one")
     parser.add_argument("--seed", type=int, action="append", default=[], help="a seed to play, instead of a row of them; may be repeated")
+    parser.add_argument("--regressions", action="store_true", help="play the seeds that failed once, as listed in proof/soak/regressions.txt")
     parser.add_argument("--seconds", type=float, default=10, help="time in which faults begin; a run takes up to 20 s more")
     parser.add_argument("--processes", type=int, default=9, help="daemons of a run; a third of them are balancers")
     parser.add_argument("--jobs", type=int, default=2, help="seeds played at the same time")
@@ -149,6 +150,9 @@
 def main(arguments=None):
     options = parse(arguments)
     first = options.first if options.first is not None else random.SystemRandom().randrange(1_000_000)
+    if options.regressions:
+        lines = (ROOT / "proof/soak/regressions.txt").read_text().splitlines()
+        options.seed += [int(line.split()[0]) for line in lines if line and not line.startswith("#")]
     seeds = options.seed or list(range(first, first + options.seeds))
     violations = 0
     with concurrent.futures.ProcessPoolExecutor(max_workers=options.jobs) as pool:
