--- a/apps/rattanpickd/stream/streamduty.cpp
+++ b/apps/rattanpickd/stream/streamduty.cpp
@@ -356,7 +356,7 @@
             m_outgoingPackets.push_back({{toCaller->caller.address, m_context.settings.callers.port}, toCaller->packet});
         } else if (const auto *event = std::get_if<RecordStreamEvent>(&action)) {
             m_context.metrics.counter(QStringLiteral("events.") + eventName(event->number)).add();
-            m_context.log.record(event->number, event->detail, event->flow.toString());
+            m_context.log.record(event->number, event->detail, event->flowText());
         } else if (std::holds_alternative<ProbeStreamTarget>(action)) {
             m_targetProbe.begin(m_context.settings.target);
         } else if (const auto *time = std::get_if<RecordStreamTime>(&action)) {
--- a/packages/stream/streamaction.h
+++ b/packages/stream/streamaction.h
@@ -47,6 +47,12 @@
     FlowKey flow;
     QString detail;
 
+    /// The flow as logs name it; empty for an event that is about no flow.
+    QString flowText() const
+    {
+        return flow == FlowKey{} ? QString() : flow.toString();
+    }
+
     bool operator==(const RecordStreamEvent &) const = default;
 };
 
