End a soak run whose probe lost its cancellation

All nine daemons were idle, and the soak itself waited in its event loop with a timer of a quarter of a second: a readiness probe had gone on after it was cancelled. wait_for() of Python 3.11 loses a cancellation that arrives together with its result.

Ruled out: the daemons (alive, last log lines at the end of the traffic); a busy loop (12 s of processor time in 229 s).

Change: the end of a run cancels its tasks until all have ended.

--- a/proof/soak/deployment.py
+++ b/proof/soak/deployment.py
@@ -111,9 +111,11 @@
         return all(misses == 0 for misses in self.router._misses.values())
 
     async def end(self):
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        # wait_for() of Python 3.11 loses a cancellation that comes with its result; a probe then went on for ever (seed 2045).
+        while pending := [task for task in self.tasks if not task.done()]:
+            for task in pending:
+                task.cancel()
+            await asyncio.wait(pending, timeout=1)
         for machine in self.machines:
             if machine.process and machine.process.poll() is None:
                 machine.process.send_signal(signal.SIGCONT)
