--- a/proof/soak/callers.py
+++ b/proof/soak/callers.py
@@ -34,6 +34,9 @@
         ready = [balancer for balancer, misses in self._misses.items() if misses < MISSES]
         return ready if 2 * len(ready) >= len(self._misses) else list(self._misses)
 
+    def is_everyone_ready(self):
+        return all(misses == 0 for misses in self._misses.values())
+
     def send(self, segment):
         if self._deployment.links.is_lost():
             return
@@ -197,7 +200,7 @@
         if flow is not None and not self.deployment.links.is_lost():
             flow.receive(segment)
 
-    async def _open(self, route):
+    async def open_flow(self, route):
         self._next_port += 1
         flow = Flow(self, self._next_port, route)
         self.flows[self._next_port] = flow
@@ -213,7 +216,7 @@
             request.attempts += 1
             is_open = flow is not None and not flow.is_over
             if not is_open:
-                flow, is_open = await self._open(route)
+                flow, is_open = await self.open_flow(route)
             if not is_open:
                 cause = f"not opened from port {flow.source[1]}"
                 flow.end()
--- a/proof/soak/run.py
+++ b/proof/soak/run.py
@@ -60,7 +60,7 @@
 
 
 async def open_only(caller, route):
-    flow, _ = await caller._open(route)
+    flow, _ = await caller.open_flow(route)
     flow.end()
 
 
