Compile the libraries of the message module as position-independent code

rattanpick_messages is a shared module that links static packages. Their objects were compiled for executables only. The linker accepts that on x86-64, but stops on arm64 with "relocation R_AARCH64_ADR_PREL_PG_HI21 against symbol ... recompile with -fPIC".

--- a/cmake/RattanpickTargets.cmake
+++ b/cmake/RattanpickTargets.cmake
@@ -32,3 +32,12 @@
     add_test(NAME ${folder} COMMAND test_${folder})
     set_tests_properties(${folder} PROPERTIES TIMEOUT 300)
 endfunction()
+
+# rattanpick_module_libraries(NAME...): compiles static libraries that a shared module links as position-independent code.
+# Calls within a library may still be inlined, since nothing replaces its functions at run time.
+function(rattanpick_module_libraries)
+    foreach(library ${ARGN})
+        set_target_properties(${library} PROPERTIES POSITION_INDEPENDENT_CODE ON)
+        target_compile_options(${library} PRIVATE -fno-semantic-interposition)
+    endforeach()
+endfunction()
