--- a/review/lib/scenario.py
+++ b/review/lib/scenario.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import traceback
@@ -53,6 +54,8 @@
 async def _run(body, size, record, folder):
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: None)
+    # A time limit from outside also ends all processes that were started.
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     history = History(loop.time)
     slot, reservation = reserve_slot()
     deployment = Deployment(history, random.Random(1), slot, folder, {"balancer": [str(DAEMON)], "agent": [str(DAEMON)]}, size)
@@ -65,6 +68,8 @@
         result = BROKEN if scenario.violations else HELD
     except Stop as reason:
         scenario.log(f"the case could not run: {reason}")
+    except asyncio.CancelledError:
+        scenario.log("the case could not run: it was ended from outside")
     except Exception:
         scenario.log("the case could not run: " + traceback.format_exc())
     finally:
@@ -75,7 +80,7 @@
     return result
 
 
-def main(body, size, record, idle_timeout_ms=None, daemon_log=None):
+def main(body, size, record, idle_timeout_ms=None):
     """Runs the body with a deployment of (balancers, targets) and exits with its result."""
     if not DAEMON.exists():
         print("the build of the deploy file is missing")
@@ -85,8 +90,6 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="rattanpick-review-"))
     try:
         result = asyncio.run(_run(body, size, record, folder))
-        if daemon_log:
-            shutil.copytree(folder, daemon_log, dirs_exist_ok=True)
     finally:
         shutil.rmtree(folder, ignore_errors=True)
     print(("held", "broken", "could not run")[result])
