Log what a search, a rebound flow and a denied packet are based on

The logs could not tell the hypotheses of the incident apart: event 304 of a search did not say how many targets had denied the flow and how long its process had known the list of targets, and event 305 not whether the target's answer fits the caller's packet. Event 313 counts the packets that agents give to targets that do not hold the flow (metric events.*). No decision changes; the sequence number that an agent now records is read by the log only.

--- a/packages/core/event.cpp
+++ b/packages/core/event.cpp
@@ -66,6 +66,7 @@
     NamedEvent{EventNumber::FlowWaiting, "FlowWaiting", EventLevel::Debug},
     NamedEvent{EventNumber::FlowPassedOn, "FlowPassedOn", EventLevel::Info},
     NamedEvent{EventNumber::FlowLocated, "FlowLocated", EventLevel::Info},
+    NamedEvent{EventNumber::FlowDenied, "FlowDenied", EventLevel::Debug},
     NamedEvent{EventNumber::RequestDelivered, "RequestDelivered", EventLevel::Debug},
     NamedEvent{EventNumber::RequestAnswered, "RequestAnswered", EventLevel::Debug},
     NamedEvent{EventNumber::RequestNotRun, "RequestNotRun", EventLevel::Warning},
--- a/packages/core/eventnumber.h
+++ b/packages/core/eventnumber.h
@@ -42,6 +42,7 @@
     FlowWaiting = 310,
     FlowPassedOn = 311,
     FlowLocated = 312,
+    FlowDenied = 313,
     RequestDelivered = 401,
     RequestAnswered = 402,
     RequestNotRun = 403,
--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -214,6 +214,19 @@
     return found != m_lookups.end() ? found->second.message.packet : QByteArray();
 }
 
+QString FlowLookup::describe(TimePoint now, const FlowKey &flow) const
+{
+    const auto found = m_lookups.find(flow);
+    if (found == m_lookups.end()) {
+        return QStringLiteral("denied=0");
+    }
+    const auto listAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_directory.completionTime().value_or(now));
+    return QStringLiteral("denied=%1 unlisted-gone=%2 list-age-ms=%3")
+        .arg(found->second.denied.size())
+        .arg(found->second.unlisted.size())
+        .arg(listAge.count());
+}
+
 void FlowLookup::end(const FlowKey &flow)
 {
     m_lookups.erase(flow);
--- a/packages/stream/flowlookup.h
+++ b/packages/stream/flowlookup.h
@@ -62,6 +62,9 @@
     /// The latest packet of a flow that is looked up; empty if there is no lookup.
     QByteArray packetOf(const FlowKey &flow) const;
 
+    /// What the lookup is based on, for logs: denials, targets without an answer, and the age of the list of targets.
+    QString describe(TimePoint now, const FlowKey &flow) const;
+
     /// Ends the lookup, if there is one.
     void end(const FlowKey &flow);
 
--- a/packages/stream/heldflow.h
+++ b/packages/stream/heldflow.h
@@ -35,6 +35,8 @@
     bool hasTargetSequence = false;
     /// End of the data that the target has sent; valid if hasTargetSequence is set.
     quint32 targetEnd = 0;
+    /// The sequence number of the caller's latest segment.
+    quint32 callerSequence = 0;
     /// The latest acknowledgement number of the caller; the caller accepts a reset near it.
     quint32 callerAcknowledgement = 0;
     /// End of the data that the caller has sent.
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -468,6 +468,10 @@
     }
     removeFlow(now, key);
     const StreamMessage message = delivery.message;
+    if (message.kind != StreamMessageKind::Opening) {
+        actions.emplace_back(
+            RecordStreamEvent{EventNumber::FlowDenied, key, QStringLiteral("reason=%1 message=%2").arg(reason).arg(static_cast<int>(message.kind))});
+    }
     switch (message.kind) {
     case StreamMessageKind::Opening:
         forwardOpening(message, key, reason, actions);
@@ -503,7 +507,11 @@
         actions.emplace_back(SendStreamMessage{flow.balancer, answer(now, StreamMessageKind::Held, key)});
     } else if (flow.state == HeldFlow::State::Unconfirmed) {
         flow.state = HeldFlow::State::Open;
-        actions.emplace_back(RecordStreamEvent{EventNumber::FlowRebound, key, QStringLiteral("reason=target-answered")});
+        actions.emplace_back(RecordStreamEvent{EventNumber::FlowRebound,
+                                               key,
+                                               QStringLiteral("reason=target-answered sequence-gap=%1 acknowledgement-gap=%2")
+                                                   .arg(static_cast<qint32>(segment.acknowledgement - flow.callerSequence))
+                                                   .arg(static_cast<qint32>(segment.sequence - flow.callerAcknowledgement))});
         StreamMessage held = answer(now, StreamMessageKind::Held, key);
         m_lookup.end(key);
         if (!flow.lookupAgent.isNull()) {
@@ -808,17 +816,18 @@
     }
 }
 
-void StreamAgent::resetAfterLookup(TimePoint /*now*/, const FlowKey &key, StreamActions &actions)
+void StreamAgent::resetAfterLookup(TimePoint now, const FlowKey &key, StreamActions &actions)
 {
     const std::optional<Segment> segment = m_format.decode(m_lookup.packetOf(key));
     actions.emplace_back(SendToStreamCaller{key.caller, m_format.reset(key, segment ? segment->acknowledgement : 0)});
-    actions.emplace_back(RecordStreamEvent{EventNumber::FlowBroken, key, QStringLiteral("reason=held-by-no-target")});
+    actions.emplace_back(RecordStreamEvent{EventNumber::FlowBroken, key, QStringLiteral("reason=held-by-no-target ") + m_lookup.describe(now, key)});
     m_lookup.end(key);
 }
 
 void StreamAgent::trackCallerSegment(TimePoint now, HeldFlow &flow, const StreamMessage &message, const Segment &segment)
 {
     flow.balancer = message.balancer;
+    flow.callerSequence = segment.sequence;
     if (segment.has(AckFlag)) {
         flow.callerAcknowledgement = segment.acknowledgement;
     }
--- a/packages/stream/targetdirectory.h
+++ b/packages/stream/targetdirectory.h
@@ -114,6 +114,12 @@
         return m_isComplete;
     }
 
+    /// When the first full read ended; empty before it.
+    std::optional<TimePoint> completionTime() const
+    {
+        return m_isComplete ? std::optional(m_completedAt) : std::nullopt;
+    }
+
     /// Whether the source has been available for long enough that missing entries are meaningful.
     bool isSettled(TimePoint now) const
     {
