Do not take the list of targets for all that hold flows

Callers see: a reset of an open flow whose target lives.

Cause: a complete read of the directory was taken for the complete list of targets that hold flows. A target may live without an entry.

Change: an agent whose target is not listed announces it to the agents that may look up its flows, at once and every 0.9 s (TargetAnnouncer, message UnlistedTarget). A search ends in a reset only once its agent has known the list for two seconds, and not while its own target is not listed, since nobody announces anything to it then. This needs no knowledge of peers, so that it also holds if all of them were restarted in the meantime.

Weighed: asking peers for the targets that left lately needs peers that were not restarted themselves.

--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -162,7 +162,10 @@
 
 bool FlowLookup::isConclusive(TimePoint now, const Lookup &lookup) const
 {
-    return lookup.outstanding.empty() && lookup.isDeniedByOwnTarget && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && m_directory.isSettled(now);
+    // A complete read of the directory lacks the targets that live without an entry; their agents announce them to the
+    // listed ones.
+    const bool knowsAllTargets = m_directory.hasAllTargets(now) && m_directory.isListed(m_settings.target);
+    return lookup.outstanding.empty() && lookup.isDeniedByOwnTarget && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllTargets;
 }
 
 bool FlowLookup::areUnlistedGone(TimePoint now, const Lookup &lookup) const
@@ -221,10 +224,7 @@
         return QStringLiteral("denied=0");
     }
     const auto listAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_directory.completionTime().value_or(now));
-    return QStringLiteral("denied=%1 unlisted-gone=%2 list-age-ms=%3")
-        .arg(found->second.denied.size())
-        .arg(found->second.unlisted.size())
-        .arg(listAge.count());
+    return QStringLiteral("denied=%1 unlisted-gone=%2 list-age-ms=%3").arg(found->second.denied.size()).arg(found->second.unlisted.size()).arg(listAge.count());
 }
 
 void FlowLookup::end(const FlowKey &flow)
--- a/packages/stream/routetable.cpp
+++ b/packages/stream/routetable.cpp
@@ -56,6 +56,12 @@
     return services;
 }
 
+bool RouteTable::shareRoute(ServiceId first, ServiceId second) const
+{
+    return first == second
+           || std::ranges::any_of(m_routes, [first, second](const auto &item) { return item.second.usesService(first) && item.second.usesService(second); });
+}
+
 bool RouteTable::allows(const Endpoint &address, ServiceId service) const
 {
     const Route *route = findRoute(address);
--- a/packages/stream/routetable.h
+++ b/packages/stream/routetable.h
@@ -45,6 +45,9 @@
         return m_namedServices.contains(static_cast<quint32>(service));
     }
 
+    /// Whether flows to one address may go to either service.
+    bool shareRoute(ServiceId first, ServiceId second) const;
+
     /// The number of routes.
     std::size_t routeCount() const
     {
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -41,6 +41,7 @@
     , m_lookup(m_settings, m_directory)
     , m_retention(settings.retention, m_directory)
     , m_watch(m_settings, m_meter)
+    , m_announcer(m_settings, m_directory)
     , m_loadDeadline(now + settings.loadInterval)
 {
     // As after a pause, nothing is known yet of drains, of data centres that are out and of cold targets.
@@ -64,6 +65,7 @@
         m_slotCount = std::max<quint32>(1, own->target.slotCount);
         m_meter.setSlotCount(m_slotCount);
     }
+    m_announcer.onDirectoryChange(now);
 }
 
 void StreamAgent::onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions)
@@ -93,6 +95,8 @@
         if (m_lookup.onNotHeld(now, message.flow, message.target, message.isUnsettled) == FlowLookup::Outcome::NotHeldByAny) {
             resetAfterLookup(now, message.flow, actions);
         }
+    } else if (message.kind == StreamMessageKind::UnlistedTarget) {
+        m_directory.recordUnlisted(now, message.targetAddress, message.service);
     } else if (message.kind == StreamMessageKind::Ping) {
         m_subscribers[message.sender] = now + subscriptionTimeout;
         actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::Load, {})});
@@ -147,6 +151,7 @@
     if (m_watch.takeDueProbe(now)) {
         actions.emplace_back(ProbeStreamTarget{});
     }
+    announceTarget(now, actions);
     releaseQueued(now, actions);
     removeExpired(now);
     if (now < m_loadDeadline) {
@@ -191,7 +196,7 @@
 
 TimePoint StreamAgent::nextDeadline() const
 {
-    TimePoint next = std::min({m_directory.nextDeadline(), m_loadDeadline, m_lookup.nextDeadline()});
+    TimePoint next = std::min({m_directory.nextDeadline(), m_loadDeadline, m_lookup.nextDeadline(), m_announcer.nextDeadline()});
     if (m_queue.size() > 0) {
         next = std::min(next, m_queue.nextDeadline());
         next = std::min(next, m_requestDeadlines.empty() ? TimePoint::max() : m_requestDeadlines.front().first);
@@ -439,6 +444,19 @@
     }
 }
 
+void StreamAgent::announceTarget(TimePoint now, StreamActions &actions)
+{
+    const std::vector<Endpoint> receivers = m_announcer.takeReceivers(now);
+    if (receivers.empty() || m_watch.hasEnded()) {
+        return;
+    }
+    StreamMessage announcement = answer(now, StreamMessageKind::UnlistedTarget, {});
+    announcement.targetAddress = m_settings.target;
+    for (const Endpoint &agent : receivers) {
+        actions.emplace_back(SendStreamMessage{agent, announcement});
+    }
+}
+
 // Packets of the target
 
 void StreamAgent::onBounced(TimePoint now, const Segment &segment, StreamActions &actions)
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -11,6 +11,7 @@
 #include "stream/streamaction.h"
 #include "stream/streamagentsettings.h"
 #include "stream/streamdecisions.h"
+#include "stream/targetannouncer.h"
 #include "stream/targetdirectory.h"
 #include "stream/targetwatch.h"
 
@@ -90,6 +91,8 @@
     void denyUnconfirmedFlows(TimePoint now, StreamActions &actions);
     void denyUnconfirmed(TimePoint now, const FlowKey &key, const HeldFlow &flow, const QString &reason, StreamActions &actions);
     void reportLoad(TimePoint now, StreamActions &actions);
+    /// Announces the local target while the directory does not list it.
+    void announceTarget(TimePoint now, StreamActions &actions);
 
     // Packets of the target
     void onBounced(TimePoint now, const Segment &segment, StreamActions &actions);
@@ -147,6 +150,7 @@
     FlowRetention m_retention;
     LoadMeter m_meter;
     TargetWatch m_watch;
+    TargetAnnouncer m_announcer;
     OpeningQueue m_queue;
     /// Flows whose first request is expected, ordered by the time until which it is.
     std::deque<std::pair<TimePoint, FlowKey>> m_requestDeadlines;
--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -73,6 +73,9 @@
     Duration callerRepeatLimit = 1600ms;
     /// How long a lookup keeps its denials after its latest packet is outdated.
     Duration lookupRetention = 2400ms;
+    /// Interval at which an unlisted target is announced. Below the time for which a process that has started waits for
+    /// missing targets, so that one announcement may be lost.
+    Duration announcementInterval = 900ms;
     /// After a denial by an agent that lacks entries which may return, time until the own directory contains those that
     /// have returned. Above the age at which a directory counts as outdated.
     Duration unsettledTime = 2500ms;
--- a/packages/stream/streammessage.h
+++ b/packages/stream/streammessage.h
@@ -38,6 +38,8 @@
     DirectoryUpdate = 10,
     /// The opening is queued at the agent until the target has room.
     Waiting = 11,
+    /// The target of the sender is not listed, and may hold flows.
+    UnlistedTarget = 12,
 };
 
 /// A message between a balancer and the agents, or between two agents. Members that a kind does not use stay empty.
@@ -70,6 +72,8 @@
     /// NotHeld: the sender has targets whose entries are missing and may return. One of them may hold the flow, and a
     /// process that has started since has no record of it.
     bool isUnsettled = false;
+    /// UnlistedTarget: where the target receives segments.
+    Endpoint targetAddress;
     /// The whole packet of the caller; for kinds that carry a segment.
     QByteArray packet;
 
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -73,6 +73,9 @@
     if (carriesLoad(message.kind)) {
         stream << message.load;
     }
+    if (message.kind == StreamMessageKind::UnlistedTarget) {
+        stream << message.targetAddress;
+    }
     if (carriesSegment(message.kind)) {
         stream << static_cast<quint8>(message.candidates.size());
         for (const TargetId candidate : message.candidates) {
@@ -92,7 +95,7 @@
     StreamMessage message;
     stream >> receivedMagic >> message.kind >> message.hopCount >> message.configurationVersion >> message.directoryRevision >> message.verifiedMilliseconds
         >> message.lamport >> message.sender >> message.balancer >> message.service >> message.target >> message.incarnation;
-    requireWire(stream, receivedMagic == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::Waiting);
+    requireWire(stream, receivedMagic == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::UnlistedTarget);
     if (namesFlow(message.kind)) {
         stream >> message.flow;
     }
@@ -102,6 +105,9 @@
     if (carriesLoad(message.kind)) {
         readLoad(stream, message.load);
     }
+    if (message.kind == StreamMessageKind::UnlistedTarget) {
+        stream >> message.targetAddress;
+    }
     if (carriesSegment(message.kind)) {
         readCandidates(stream, message.candidates);
         message.packet = QByteArray(datagram.data() + stream.device()->pos(), datagram.size() - stream.device()->pos());
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -5,6 +5,17 @@
 namespace Rattanpick
 {
 
+namespace
+{
+
+/// Name of a target that is known by an announcement only, which does not contain its name.
+QString unlistedName(const Endpoint &address)
+{
+    return QStringLiteral("unlisted-") + address.toString();
+}
+
+}
+
 TargetDirectory::TargetDirectory(const TargetDirectorySettings &settings)
     : m_settings(settings)
 {
@@ -18,6 +29,32 @@
     std::visit([this, now](const auto &part) { applyChange(now, part); }, change);
 }
 
+void TargetDirectory::recordUnlisted(TimePoint now, const Endpoint &address, ServiceId service)
+{
+    bool isKnown = false;
+    for (auto &[id, entry] : m_entries) {
+        if (entry.target.address != address) {
+            continue;
+        }
+        isKnown = true;
+        if (entry.listing == Listing::Departed) {
+            entry.listingDeadline = now + m_settings.departedRetention;
+        }
+    }
+    if (isKnown) {
+        return;
+    }
+    const QString name = unlistedName(address);
+    Entry &entry = m_entries[targetIdOf(name.toUtf8())];
+    entry.target.name = name;
+    entry.target.id = targetIdOf(name.toUtf8());
+    entry.target.service = service;
+    entry.target.address = address;
+    entry.agent = {address.address, m_settings.agentPort};
+    ++m_generation;
+    markDeparted(now, entry);
+}
+
 void TargetDirectory::onTick(TimePoint now)
 {
     m_firstUsedAt = m_firstUsedAt.value_or(now);
@@ -38,6 +75,7 @@
 
 void TargetDirectory::applyChange(TimePoint now, const TargetListed &change)
 {
+    m_entries.erase(targetIdOf(unlistedName(change.target.address).toUtf8()));
     Entry &entry = m_entries[change.target.id];
     if (change.revision < entry.revision) {
         return;
@@ -204,6 +242,12 @@
     return found != m_entries.end() ? &found->second : nullptr;
 }
 
+bool TargetDirectory::isListed(const Endpoint &address) const
+{
+    const Entry *entry = findAt(address);
+    return entry != nullptr && entry->listing == Listing::Listed;
+}
+
 bool TargetDirectory::hasLapsedTargets(TimePoint now) const
 {
     return !isSettled(now)
--- a/packages/stream/targetdirectory.h
+++ b/packages/stream/targetdirectory.h
@@ -68,6 +68,9 @@
     /// Applies a change.
     void apply(TimePoint now, const DirectoryChange &change);
 
+    /// The agent of a target that is not listed announces it: records the target as departed, unless its address is known.
+    void recordUnlisted(TimePoint now, const Endpoint &address, ServiceId service);
+
     /// Marks lapsed entries as departed and removes departed ones, as they become due.
     void onTick(TimePoint now);
 
@@ -85,6 +88,9 @@
     /// The present target that receives segments at the address, or null.
     const Entry *findAt(const Endpoint &address) const;
 
+    /// Whether a target at the address is listed at present.
+    bool isListed(const Endpoint &address) const;
+
     /// Whether new flows may go to the target: it is present and not draining, and its data centre is in service.
     bool acceptsFlows(const Entry &entry) const;
 
--- a/tests/stream/streamsimulation.h
+++ b/tests/stream/streamsimulation.h
@@ -119,6 +119,9 @@
     /// Ends a draining target for good; the store removes its entry.
     void removeTarget(int index);
 
+    /// The store removes the entry of a target that still serves its flows.
+    void unlistTarget(int index);
+
     /// The target begins to drain.
     void drainTarget(int index);
 
--- a/tests/stream/streamsimulationtest.cpp
+++ b/tests/stream/streamsimulationtest.cpp
@@ -186,6 +186,41 @@
     playLeavingTarget(settings);
 }
 
+// Guards against resets of flows whose target still serves after its entry has gone, by agents that have started since.
+RC_GTEST_PROP(StreamSimulationTest, TargetsThatOutliveTheirEntryKeepTheirFlows, ())
+{
+    StreamSimulationSettings settings;
+    settings.seed = *rc::gen::arbitrary<quint64>();
+    settings.balancers = 3;
+    settings.callerTimeout = 5s;
+    StreamSimulation simulation(settings);
+    const TimePoint begin = simulation.now();
+    const TimePoint end = begin + 10s;
+    sendPeriodicRequests(simulation, 30, 400ms, end);
+    const int leaving = *rc::gen::inRange(0, settings.targets);
+    const bool isDrained = *rc::gen::arbitrary<bool>();
+    if (isDrained) {
+        simulation.at(begin + 500ms, [&simulation, leaving] { simulation.drainTarget(leaving); });
+    }
+    simulation.at(begin + 2s, [&simulation, leaving] { simulation.unlistTarget(leaving); });
+    // All agents are restarted in turn, the one of the target that leaves included, and balancers look up the flows.
+    for (int target = 0; target < settings.targets; ++target) {
+        const TimePoint time = begin + 2500ms + target * std::chrono::milliseconds(*rc::gen::inRange(200, 1800));
+        simulation.at(time, [&simulation, target] { simulation.restartAgent(target, 300ms); });
+    }
+    const int lookups = *rc::gen::inRange(2, 8);
+    for (int lookup = 0; lookup < lookups; ++lookup) {
+        const TimePoint time = begin + std::chrono::milliseconds(*rc::gen::inRange(2500, 9500));
+        const int balancer = *rc::gen::inRange(0, settings.balancers);
+        simulation.at(time, [&simulation, balancer] {
+            simulation.restartBalancer(balancer);
+            simulation.reshuffle();
+        });
+    }
+    simulation.runUntil(end + 2s);
+    RC_ASSERT(wrongResets(simulation) == 0);
+}
+
 // Guards against new flows to a draining target from balancers that are notified late.
 RC_GTEST_PROP(StreamSimulationTest, DrainingTargetsGetNoNewFlows, ())
 {
--- a/tests/stream/targetdirectorytest.cpp
+++ b/tests/stream/targetdirectorytest.cpp
@@ -262,3 +262,17 @@
     directory.apply(start + 4s, TargetListed{103, target(1)});
     EXPECT_FALSE(directory.find(target(1).id)->drainingSince);
 }
+
+// Guards against a search that ends without the target that lives without an entry.
+TEST(TargetDirectoryTest, AnnouncedTargetsAreKnownUntilTheyAreListed)
+{
+    TargetDirectory directory = directoryWith(reading({target(1)}));
+    directory.recordUnlisted(start, targetAddress(2), service);
+    directory.recordUnlisted(start, targetAddress(1), service);
+    ASSERT_EQ(directory.entries().size(), 2);
+    EXPECT_EQ(presentNames(directory), std::vector<QString>{target(1).name});
+    EXPECT_FALSE(directory.isListed(targetAddress(2)));
+    directory.apply(start, TargetListed{200, target(2)});
+    EXPECT_EQ(directory.entries().size(), 2);
+    EXPECT_TRUE(directory.isListed(targetAddress(2)));
+}
