Tell a flow from an earlier one between the same addresses

Callers see: requests without an answer, and packets that reach only another target, when they use a port again after its flow has ended and a balancer or an agent was restarted.

Cause: what was known of an earlier flow was taken for the flow that uses the same addresses now. A target remembers flows that have ended and answers their packets; any answer counted as proof that it holds the flow that is looked up.

Change: FlowPosition, the sequence numbers of both directions, tells them apart. Both ends choose their first numbers at random. An answer of a target, a record of an agent, a cached entry of a balancer and the denials of a lookup count for a packet only if they fit its numbers. The answer of a target to a packet that is not of its flow, a reset at times, is not passed to the caller.

Other places of the same cause, all changed here: the records of agents (Deliver, Probe, Locate), lookups (a flow was reset because targets had denied an earlier one), balancers (a flow was reset because the target of an earlier one was gone).

The targets of the simulation acknowledge what they received, remember ended flows and ignore segments outside their window; its callers ignore such resets. Misrouted flows are counted as the rule says it, over any span of two seconds.

--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -14,9 +14,19 @@
 
 // Rounds
 
-void FlowLookup::request(TimePoint now, const FlowKey &flow, const StreamMessage &message, bool isDeniedByOwnTarget, StreamActions &actions)
+void FlowLookup::request(TimePoint now,
+                         const FlowKey &flow,
+                         const FlowPosition &position,
+                         const StreamMessage &message,
+                         bool isDeniedByOwnTarget,
+                         StreamActions &actions)
 {
     auto found = m_lookups.find(flow);
+    if (found != m_lookups.end() && !found->second.position.fits(position)) {
+        // The denials are about an earlier flow between these endpoints.
+        m_lookups.erase(found);
+        found = m_lookups.end();
+    }
     if (found == m_lookups.end()) {
         if (m_lookups.size() >= m_settings.lookupLimit) {
             actions.emplace_back(RecordStreamEvent{EventNumber::FlowSearchFailed, flow, QStringLiteral("reason=too-many-lookups")});
@@ -26,6 +36,7 @@
         m_retentionChecks.emplace_back(now + m_settings.lookupRetention, flow);
     }
     Lookup &lookup = found->second;
+    lookup.position = position;
     lookup.message = message;
     lookup.packetDeadline = now + m_settings.callerRepeatLimit;
     lookup.isDeniedByOwnTarget = lookup.isDeniedByOwnTarget || isDeniedByOwnTarget;
--- a/packages/stream/flowlookup.h
+++ b/packages/stream/flowlookup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "stream/flowposition.h"
 #include "stream/silentagents.h"
 #include "stream/streamaction.h"
 #include "stream/streamagentsettings.h"
@@ -43,8 +44,10 @@
     /// Builds the lookup table; both references must outlive it.
     FlowLookup(const StreamAgentSettings &settings, const TargetDirectory &directory);
 
-    /// Asks for a round of the flow of a packet. @p isDeniedByOwnTarget: the local target does not hold the flow.
-    void request(TimePoint now, const FlowKey &flow, const StreamMessage &message, bool isDeniedByOwnTarget, StreamActions &actions);
+    /// Asks for a round of the flow of a packet, which shows the position. @p isDeniedByOwnTarget: the local target does not
+    /// hold the flow.
+    void
+    request(TimePoint now, const FlowKey &flow, const FlowPosition &position, const StreamMessage &message, bool isDeniedByOwnTarget, StreamActions &actions);
 
     /// Begins the next round, if one is asked for and the budget allows it.
     std::optional<Round> takeRound(TimePoint now, StreamActions &actions);
@@ -81,6 +84,8 @@
 private:
     struct Lookup
     {
+        /// Shown by the latest packet.
+        FlowPosition position;
         /// The message that brought the latest packet of the flow.
         StreamMessage message;
         /// When the caller has sent a copy of the packet or has given up.
--- a/packages/stream/heldflow.h
+++ b/packages/stream/heldflow.h
@@ -2,6 +2,7 @@
 
 #include "core/endpoint.h"
 #include "core/timepoint.h"
+#include "stream/flowposition.h"
 
 #include <QtGlobal>
 
@@ -35,8 +36,8 @@
     bool hasTargetSequence = false;
     /// End of the data that the target has sent; valid if hasTargetSequence is set.
     quint32 targetEnd = 0;
-    /// The sequence number of the caller's latest segment.
-    quint32 callerSequence = 0;
+    /// Shown by the latest segment that has passed in either direction.
+    FlowPosition position;
     /// The latest acknowledgement number of the caller; the caller accepts a reset near it.
     quint32 callerAcknowledgement = 0;
     /// End of the data that the caller has sent.
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -119,8 +119,14 @@
         return;
     }
     const FlowKey key = segment->flowFromTarget();
-    actions.emplace_back(SendToStreamCaller{key.caller, packet});
     HeldFlow *flow = find(key);
+    if (flow != nullptr && flow->state == HeldFlow::State::Unconfirmed && !flow->position.fits(FlowPosition::fromTarget(*segment))) {
+        // The target remembers an earlier flow between these endpoints. Its answer, which may be a reset, is not for the
+        // present one.
+        denyUnconfirmed(now, key, *flow, QStringLiteral("earlier-flow"), actions);
+        return;
+    }
+    actions.emplace_back(SendToStreamCaller{key.caller, packet});
     if (flow == nullptr) {
         if (segment->has(RstFlag)) {
             return;
@@ -525,11 +531,7 @@
         actions.emplace_back(SendStreamMessage{flow.balancer, answer(now, StreamMessageKind::Held, key)});
     } else if (flow.state == HeldFlow::State::Unconfirmed) {
         flow.state = HeldFlow::State::Open;
-        actions.emplace_back(RecordStreamEvent{EventNumber::FlowRebound,
-                                               key,
-                                               QStringLiteral("reason=target-answered sequence-gap=%1 acknowledgement-gap=%2")
-                                                   .arg(static_cast<qint32>(segment.acknowledgement - flow.callerSequence))
-                                                   .arg(static_cast<qint32>(segment.sequence - flow.callerAcknowledgement))});
+        actions.emplace_back(RecordStreamEvent{EventNumber::FlowRebound, key, QStringLiteral("reason=target-answered")});
         StreamMessage held = answer(now, StreamMessageKind::Held, key);
         m_lookup.end(key);
         if (!flow.lookupAgent.isNull()) {
@@ -538,6 +540,9 @@
         actions.emplace_back(SendStreamMessage{flow.balancer, std::move(held)});
     }
     const bool isReset = segment.has(RstFlag);
+    if (!isReset) {
+        flow.position = FlowPosition::fromTarget(segment);
+    }
     // The network may reorder segments: a FIN behind data that has not been seen yet follows an answer. For a flow from
     // before the start of this process the sequence is unknown, and the answer may have passed before.
     const bool hasEndedWithoutData = segment.has(FinFlag) && (!flow.hasTargetSequence || segment.sequence == flow.targetEnd);
@@ -654,7 +659,9 @@
 {
     HeldFlow &flow = m_flows[key];
     flow.balancer = message.balancer;
-    flow.openingSequence = m_format.decode(message.packet)->sequence;
+    const Segment opening = *m_format.decode(message.packet);
+    flow.openingSequence = opening.sequence;
+    flow.position = FlowPosition::fromCaller(opening);
     flow.isRequestAwaited = true;
     ++m_awaitedRequestCount;
     m_requestDeadlines.emplace_back(now + m_settings.requestDelay, key);
@@ -817,7 +824,7 @@
         return;
     }
     // A packet that was to be delivered has been denied by the local target already.
-    m_lookup.request(now, key, message, message.kind != StreamMessageKind::Locate, actions);
+    m_lookup.request(now, key, FlowPosition::fromCaller(*segment), message, message.kind != StreamMessageKind::Locate, actions);
     runLookups(now, actions);
 }
 
@@ -845,7 +852,7 @@
 void StreamAgent::trackCallerSegment(TimePoint now, HeldFlow &flow, const StreamMessage &message, const Segment &segment)
 {
     flow.balancer = message.balancer;
-    flow.callerSequence = segment.sequence;
+    flow.position = FlowPosition::fromCaller(segment);
     if (segment.has(AckFlag)) {
         flow.callerAcknowledgement = segment.acknowledgement;
     }
@@ -932,6 +939,9 @@
 
 bool StreamAgent::matchesAnswer(const HeldFlow &flow, const Segment &segment) const
 {
+    if (!flow.position.fits(FlowPosition::fromCaller(segment))) {
+        return false;
+    }
     switch (flow.state) {
     case HeldFlow::State::Offered:
         // The target has not answered, so that the segment cannot belong to its flow unless it is a copy of the
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -295,6 +295,7 @@
         flow.openingSequence = segment.sequence;
         flow.openedAt = now;
     }
+    flow.position = FlowPosition::fromCaller(segment);
     flow.offers = 0;
     flow.isHeld = false;
     flow.candidates = candidatesFor(now, route, key);
@@ -307,12 +308,19 @@
 void StreamBalancer::onLaterSegment(TimePoint now, const QByteArray &packet, const Segment &segment, StreamActions &actions)
 {
     const FlowKey key = segment.flowFromCaller();
-    const auto found = m_flows.find(key);
+    const FlowPosition position = FlowPosition::fromCaller(segment);
+    auto found = m_flows.find(key);
+    if (found != m_flows.end() && !found->second.position.fits(position)) {
+        // The entry is about an earlier flow between these endpoints, whose opening passed another balancer.
+        m_flows.erase(found);
+        found = m_flows.end();
+    }
     const bool isKnown = found != m_flows.end() && !found->second.agent.isNull();
     // If the target that was offered the opening last has left without an answer, another one has accepted the flow.
     if (!isKnown || (!found->second.isHeld && isMissing(now, found->second))) {
         if (!segment.has(RstFlag)) {
             Flow &unknown = m_flows[key];
+            unknown.position = position;
             unknown.locatedPacket = QByteArray(packet.constData(), packet.size());
             unknown.lookups = 0;
             recordActivity(now, key, unknown);
@@ -321,6 +329,7 @@
         return;
     }
     Flow &flow = found->second;
+    flow.position = position;
     if (!segment.has(RstFlag) && isMissing(now, flow)) {
         // A target that is cut off from the source of the directory is still alive; its agent confirms it.
         if (!flow.suspectAcknowledgement) {
--- a/packages/stream/streambalancer.h
+++ b/packages/stream/streambalancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "stream/flowposition.h"
 #include "stream/flowretention.h"
 #include "stream/placement.h"
 #include "stream/segmentformat.h"
@@ -70,6 +71,8 @@
         /// Whether the target has confirmed that it holds the flow.
         bool isHeld = false;
         quint32 openingSequence = 0;
+        /// Shown by the caller's latest packet.
+        FlowPosition position;
         /// The opening as sent by the caller, until a target has answered it.
         QByteArray opening;
         std::vector<TargetId> candidates;
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -247,6 +247,47 @@
     EXPECT_EQ(held.back().to, balancer);
 }
 
+// Guards against packets that go to a target only because it remembers an earlier flow of the caller's port; the reset with
+// which it answers them is not for the present flow.
+TEST_F(StreamAgentTest, AnswerOfAnEarlierFlowDeniesTheFlow)
+{
+    for (const quint8 flags : {quint8(AckFlag), quint8(RstFlag | AckFlag), quint8(RstFlag)}) {
+        StreamMessage probe = message(StreamMessageKind::Probe, callerSegment(AckFlag, 2, 1001, 100));
+        probe.sender = agentAddress(3);
+        receive(start + 1s, probe);
+        const StreamActions answered = fromTarget(start + 1s, targetSegment(flags, 5'000'000));
+        EXPECT_TRUE(messages(answered, StreamMessageKind::Held).empty());
+        EXPECT_TRUE(segments<SendToStreamCaller>(answered).empty());
+        const auto denials = messages(answered, StreamMessageKind::NotHeld);
+        ASSERT_EQ(denials.size(), 1);
+        EXPECT_EQ(denials.front().to, agentAddress(3));
+    }
+}
+
+// Guards against the same at an agent that has a record of the earlier flow, also an open one.
+TEST_F(StreamAgentTest, RecordOfAnEarlierFlowDeniesTheFlow)
+{
+    open(settled);
+    const Segment later = callerSegment(AckFlag, 7'000'002, 9'000'001, 100);
+    for (const StreamMessageKind kind : {StreamMessageKind::Deliver, StreamMessageKind::Probe, StreamMessageKind::Locate}) {
+        const StreamActions actions = receive(settled, message(kind, later));
+        EXPECT_TRUE(segments<SendToStreamTarget>(actions).empty());
+        EXPECT_TRUE(messages(actions, StreamMessageKind::Held).empty());
+    }
+    EXPECT_TRUE(reachesTarget(settled)) << "the earlier flow itself";
+}
+
+// Guards against a reset of an open flow because targets have denied an earlier flow of the caller's port.
+TEST_F(StreamAgentTest, DenialsOfAnEarlierFlowEndNoLookup)
+{
+    receive(settled, message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100)));
+    reportNotHeld(settled + 1ms, 2);
+    const StreamActions later = receive(settled + 300ms, message(StreamMessageKind::Locate, callerSegment(AckFlag, 7'000'002, 9'000'001, 100)));
+    EXPECT_EQ(messages(later, StreamMessageKind::Probe).size(), 2);
+    EXPECT_FALSE(resetsCaller(reportNotHeld(settled + 301ms, 3)));
+    EXPECT_TRUE(resetsCaller(reportNotHeld(settled + 302ms, 2)));
+}
+
 // Guards against an unconfirmed flow that is reported as held: the target may not be running, and the caller would wait
 // in vain.
 TEST_F(StreamAgentTest, UnconfirmedFlowIsNotReportedAsHeld)
--- a/tests/stream/streambalancertest.cpp
+++ b/tests/stream/streambalancertest.cpp
@@ -430,3 +430,23 @@
     }
     EXPECT_EQ(m_balancer.flowCount(), 0);
 }
+
+// Guards against packets that go to the target of an earlier flow of the caller's port, whose opening passed this balancer
+// while that of the present one passed another.
+TEST_F(StreamBalancerTest, EntryOfAnEarlierFlowIsNotUsed)
+{
+    open();
+    const StreamActions later = packet(start + 1s, callerSegment(AckFlag, 7'000'002, 9'000'001, 100));
+    EXPECT_TRUE(messages(later, StreamMessageKind::Deliver).empty());
+    EXPECT_EQ(messages(later, StreamMessageKind::Locate).size(), 1);
+}
+
+// Guards against a reset of an open flow because the target of an earlier flow of the caller's port is gone.
+TEST_F(StreamBalancerTest, EndOfTheTargetOfAnEarlierFlowBreaksNoFlow)
+{
+    const int holder = open();
+    apply({TargetUnlisted{200, target(holder).name}}, start + 1s);
+    m_balancer.onTick(start + 10s, m_actions);
+    packet(start + 10s, callerSegment(AckFlag, 7'000'002, 9'000'001, 100));
+    EXPECT_EQ(resetTime(start + 10s, start + 14s), std::nullopt);
+}
--- a/tests/stream/streamsimulation.cpp
+++ b/tests/stream/streamsimulation.cpp
@@ -22,8 +22,12 @@
 constexpr Duration openingCopies[] = {200ms, 600ms};
 constexpr Duration openingLimit = 1400ms;
 constexpr Duration firstRepeat = 200ms;
-/// A flow is misrouted if at least this many segments reach other targets for the time, and none its own.
-constexpr int misroutedSegments = 3;
+/// Both ends ignore segments whose sequence number is farther from the expected one.
+constexpr quint32 sequenceWindow = 76'800;
+/// Time from the end of a flow until its caller opens another one from the same port.
+constexpr Duration portReuseDelay = 50ms;
+/// A flow is misrouted if at least this many segments reach other targets within a span of this length, and none its own.
+constexpr std::size_t misroutedSegments = 3;
 constexpr Duration misroutingLimit = 2s;
 /// The probes of one segment reach the targets within this time of each other.
 constexpr Duration probeSpread = 20ms;
@@ -51,26 +55,40 @@
         const Segment segment = *m_simulation.m_format.decode(packet);
         const FlowKey key = segment.flowFromCaller();
         if (segment.isOpening()) {
-            open(key);
+            open(key, segment);
             return;
         }
         const auto flow = m_flows.find(key);
-        const bool isOwnFlow = flow != m_flows.end() && (flow->second.isOpen || segment.acknowledgement == flow->second.sequence + 1);
+        const bool hasEnded = flow != m_flows.end() && flow->second.hasEnded;
+        const bool isOwnFlow = flow != m_flows.end() && !hasEnded && (flow->second.isOpen || segment.acknowledgement == flow->second.sequence + 1);
         m_simulation.recordArrival(key, isOwnFlow);
+        if (hasEnded) {
+            answer(key, segment.dataLength > 0 ? RstFlag | AckFlag : AckFlag, 0);
+            return;
+        }
         if (!isOwnFlow) {
-            Segment bounced = segment;
-            bounced.flags |= BouncedFlag;
-            m_simulation.fromTarget(m_index, bounced);
+            bounce(segment);
+            return;
+        }
+        if (flow->second.callerEnd - segment.sequence + sequenceWindow > 2 * sequenceWindow) {
+            // A late segment of an earlier flow between the same endpoints.
+            answer(key, AckFlag, 0);
             return;
         }
         flow->second.isOpen = true;
+        flow->second.callerEnd = segment.sequence + segment.dataLength;
         if (segment.has(RstFlag)) {
             m_flows.erase(flow);
             return;
         }
+        if (segment.has(FinFlag)) {
+            answer(key, FinFlag | AckFlag, 0);
+            flow->second.hasEnded = true;
+            return;
+        }
         // A retransmitted request is answered again but not processed again.
         if (segment.dataLength > 0 && segment.sequence == flow->second.answeredSequence) {
-            answer(key, answerLength);
+            answer(key, AckFlag, answerLength);
         } else if (segment.dataLength > 0 && segment.sequence != flow->second.pendingSequence) {
             flow->second.pendingSequence = segment.sequence;
             begin(key);
@@ -80,7 +98,7 @@
     bool holds(const FlowKey &key) const
     {
         const auto flow = m_flows.find(key);
-        return flow != m_flows.end() && flow->second.isOpen;
+        return flow != m_flows.end() && flow->second.isOpen && !flow->second.hasEnded;
     }
 
     int incarnationNumber() const
@@ -97,19 +115,47 @@
     struct Flow
     {
         quint32 sequence = 0;
+        /// The sequence number of the opening, and the end of the data received.
+        quint32 openingSequence = 0;
+        quint32 callerEnd = 0;
         bool isOpen = false;
+        /// Ended flows are remembered until another one is opened between the same endpoints.
+        bool hasEnded = false;
         quint32 pendingSequence = 0;
         quint32 answeredSequence = 0;
     };
 
-    void open(const FlowKey &key)
+    void open(const FlowKey &key, const Segment &segment)
     {
         Flow &flow = m_flows[key];
+        const bool isOther = flow.sequence != 0 && flow.openingSequence != segment.sequence;
+        if (isOther && flow.isOpen && !flow.hasEnded) {
+            bounce(segment);
+            return;
+        }
+        if (isOther) {
+            flow = {};
+        }
         if (flow.sequence == 0) {
             flow.sequence = static_cast<quint32>(m_simulation.m_random()) | 1;
+            flow.openingSequence = segment.sequence;
+            flow.callerEnd = segment.sequence + 1;
             openings.push_back(m_simulation.m_now);
         }
-        m_simulation.fromTarget(m_index, StreamTestData::targetSegment(SynFlag | AckFlag, flow.sequence, 0, key));
+        send(key, flow, SynFlag | AckFlag, flow.sequence, 0);
+    }
+
+    void bounce(Segment segment)
+    {
+        segment.flags |= BouncedFlag;
+        m_simulation.fromTarget(m_index, segment);
+    }
+
+    void send(const FlowKey &key, const Flow &flow, quint8 flags, quint32 sequence, quint16 length)
+    {
+        Segment segment = StreamTestData::targetSegment(flags, sequence, length, key);
+        segment.acknowledgement = flow.callerEnd;
+        m_simulation.fromTarget(m_index, segment);
     }
 
     void begin(const FlowKey &key)
@@ -119,7 +165,7 @@
         } else if (static_cast<int>(m_waiting.size()) < m_simulation.m_settings.targetQueue) {
             m_waiting.push_back(key);
         } else {
-            answer(key, shedLength);
+            answer(key, AckFlag, shedLength);
         }
     }
 
@@ -136,7 +182,7 @@
                                 return;
                             }
                             --m_busy;
-                            answer(key, answerLength);
+                            answer(key, AckFlag, answerLength);
                             if (!m_waiting.empty()) {
                                 const FlowKey next = m_waiting.front();
                                 m_waiting.pop_front();
@@ -145,14 +191,14 @@
                         });
     }
 
-    void answer(const FlowKey &key, quint16 length)
+    void answer(const FlowKey &key, quint8 flags, quint16 length)
     {
         const auto flow = m_flows.find(key);
         if (flow == m_flows.end()) {
             return;
         }
         flow->second.answeredSequence = flow->second.pendingSequence;
-        m_simulation.fromTarget(m_index, StreamTestData::targetSegment(AckFlag, flow->second.sequence + 1, length, key));
+        send(key, flow->second, flags, flow->second.sequence + 1, length);
     }
 
     StreamSimulation &m_simulation;
@@ -450,30 +496,24 @@
 
 int StreamSimulation::request()
 {
-    const auto number = static_cast<int>(m_requests.size());
-    m_requests.push_back({m_now});
     auto made = std::make_unique<Caller>();
     Caller &caller = *made;
-    caller.number = static_cast<quint64>(number) + 1;
-    caller.request = number;
+    caller.number = static_cast<quint64>(m_requests.size()) + 1;
     caller.flow.caller.address = m_nextAddress++;
     m_callers.emplace(caller.number, std::move(made));
-    at(m_now + m_settings.callerTimeout, [this, number, id = caller.number] {
-        if (m_requests[static_cast<std::size_t>(number)].result == RequestEnd::Pending) {
-            finish(*m_callers.at(id), RequestEnd::TimedOut);
-        }
-    });
+    const int number = beginRequest(caller);
     open(caller);
     return number;
 }
 
-int StreamSimulation::requestAgain(int earlier)
+StreamSimulation::Caller *StreamSimulation::findOpenCaller(int earlier)
 {
     const auto found = std::ranges::find_if(m_callers, [earlier](const auto &item) { return item.second->request == earlier; });
-    if (found == m_callers.end() || !found->second->isOpen) {
-        return request();
-    }
-    Caller &caller = *found->second;
+    return found != m_callers.end() && found->second->isOpen ? found->second.get() : nullptr;
+}
+
+int StreamSimulation::beginRequest(Caller &caller)
+{
     const auto number = static_cast<int>(m_requests.size());
     m_requests.push_back({m_now});
     caller.request = number;
@@ -482,17 +522,47 @@
             finish(*m_callers.at(id), RequestEnd::TimedOut);
         }
     });
+    return number;
+}
+
+int StreamSimulation::requestAgain(int earlier)
+{
+    Caller *caller = findOpenCaller(earlier);
+    if (caller == nullptr) {
+        return request();
+    }
+    const int number = beginRequest(*caller);
     ++m_requests[static_cast<std::size_t>(number)].attempts;
-    sendRequest(caller);
+    sendRequest(*caller);
+    return number;
+}
+
+int StreamSimulation::requestFromSamePort(int earlier)
+{
+    Caller *caller = findOpenCaller(earlier);
+    if (caller == nullptr) {
+        return request();
+    }
+    fromCaller(StreamTestData::callerSegment(FinFlag | AckFlag, caller->sequence + requestLength, caller->targetSequence + 1, 0, caller->flow));
+    const int number = beginRequest(*caller);
+    // The end of the flow may not be overtaken by the next opening.
+    caller->isOpen = false;
+    caller->attempt = m_nextAttempt++;
+    at(m_now + portReuseDelay, [this, id = caller->number] { openFromPort(*m_callers.at(id)); });
     return number;
 }
 
 void StreamSimulation::open(Caller &caller)
 {
-    ++m_requests[static_cast<std::size_t>(caller.request)].attempts;
-    caller.attempt = m_nextAttempt++;
     caller.flow = {{caller.flow.caller.address, m_nextPort}, StreamTestData::route};
     m_nextPort = m_nextPort == 60000 ? 1024 : static_cast<quint16>(m_nextPort + 1);
+    openFromPort(caller);
+}
+
+void StreamSimulation::openFromPort(Caller &caller)
+{
+    ++m_requests[static_cast<std::size_t>(caller.request)].attempts;
+    caller.attempt = m_nextAttempt++;
     caller.isOpen = false;
     caller.sequence = static_cast<quint32>(m_random());
     m_callerByPort[caller.flow.caller] = caller.number;
@@ -543,6 +613,9 @@
         return;
     }
     if (segment.has(RstFlag)) {
+        if (caller.isOpen && segment.sequence - (caller.targetSequence + 1) + sequenceWindow > 2 * sequenceWindow) {
+            return;
+        }
         const bool isHeld = std::ranges::any_of(m_targets, [&caller](const auto &target) { return target != nullptr && target->holds(caller.flow); });
         m_requests[static_cast<std::size_t>(caller.request)].wrongResets += caller.isOpen && isHeld ? 1 : 0;
         endAttempt(caller);
@@ -603,18 +676,37 @@
 {
     Misrouting &misrouting = m_misroutings[key];
     if (isOwnFlow || std::ranges::none_of(m_targets, [&key](const auto &target) { return target != nullptr && target->holds(key); })) {
-        misrouting = {m_now};
-        return;
+        if (misrouting.isMisrouted(m_now)) {
+            m_misroutedFlows.insert(key);
+        }
+        misrouting = {m_now, {}};
+    } else if (misrouting.strays.empty() || m_now >= misrouting.strays.back() + probeSpread) {
+        misrouting.strays.push_back(m_now);
     }
-    if (m_now < misrouting.latestOwn + probeSpread) {
-        return;
+}
+
+bool StreamSimulation::Misrouting::isMisrouted(TimePoint end) const
+{
+    if (end < latestOwn + misroutingLimit) {
+        return false;
     }
-    if (misrouting.segments == 0) {
-        misrouting.begin = m_now;
+    for (std::size_t index = misroutedSegments - 1; index < strays.size(); ++index) {
+        if (strays[index] - strays[index - (misroutedSegments - 1)] <= misroutingLimit) {
+            return true;
+        }
     }
-    if (++misrouting.segments >= misroutedSegments && m_now - misrouting.begin >= misroutingLimit) {
-        m_misroutedFlows.insert(key);
+    return false;
+}
+
+int StreamSimulation::misroutedFlows() const
+{
+    std::set<FlowKey> misrouted = m_misroutedFlows;
+    for (const auto &[key, misrouting] : m_misroutings) {
+        if (misrouting.isMisrouted(m_now)) {
+            misrouted.insert(key);
+        }
     }
+    return static_cast<int>(misrouted.size());
 }
 
 int StreamSimulation::runs(int target) const
--- a/tests/stream/streamsimulation.h
+++ b/tests/stream/streamsimulation.h
@@ -93,6 +93,9 @@
     /// A caller makes another request on the flow of an earlier one, or on a new flow if the earlier one has ended.
     int requestAgain(int earlier);
 
+    /// The same, but the caller ends its flow first, and opens the next one from the same port.
+    int requestFromSamePort(int earlier);
+
     /// All requests by number.
     const std::vector<SimulatedRequest> &requests() const
     {
@@ -140,10 +143,7 @@
     int openingsAfterDrain(int target, Duration time) const;
 
     /// Open flows of which three or more segments have reached other targets in 2 s, and none their own.
-    int misroutedFlows() const
-    {
-        return static_cast<int>(m_misroutedFlows.size());
-    }
+    int misroutedFlows() const;
 
 private:
     class Target;
@@ -153,8 +153,11 @@
     struct Misrouting
     {
         TimePoint latestOwn{};
-        TimePoint begin{};
-        int segments = 0;
+        /// Copies of one segment count once.
+        std::vector<TimePoint> strays;
+
+        /// Whether they break the flow if the next segment of its own target arrives at @p end.
+        bool isMisrouted(TimePoint end) const;
     };
 
     void recordArrival(const FlowKey &key, bool isOwnFlow);
@@ -176,6 +179,9 @@
 
     // Callers
     void open(Caller &caller);
+    void openFromPort(Caller &caller);
+    int beginRequest(Caller &caller);
+    Caller *findOpenCaller(int earlier);
     void sendRequest(Caller &caller);
     void repeatRequest(quint64 id, quint32 sequence, Duration interval);
     void endAttempt(Caller &caller);
--- a/tests/stream/streamsimulationtest.cpp
+++ b/tests/stream/streamsimulationtest.cpp
@@ -8,11 +8,14 @@
 namespace
 {
 
-/// Starts callers whose flows stay open and that make a request every @p interval.
-void sendPeriodicRequests(StreamSimulation &simulation, int callers, Duration interval, TimePoint end)
+/// A further request of a caller, by the number of its earlier one.
+using FurtherRequest = int (StreamSimulation::*)(int);
+
+/// Starts callers that make a request every @p interval; their flows stay open unless @p further ends them.
+void sendPeriodicRequests(StreamSimulation &simulation, int callers, Duration interval, TimePoint end, FurtherRequest further = &StreamSimulation::requestAgain)
 {
     for (int index = 0; index < callers; ++index) {
-        const auto sendNext = [&simulation, interval, end](auto &&self, int earlier) -> void {
+        const auto sendNext = [&simulation, interval, end, further](auto &&self, int earlier) -> void {
             if (simulation.now() >= end) {
                 return;
             }
@@ -21,7 +24,7 @@
                 simulation.at(simulation.now() + interval, [self, earlier] { self(self, earlier); });
                 return;
             }
-            const int number = earlier < 0 ? simulation.request() : simulation.requestAgain(earlier);
+            const int number = earlier < 0 ? simulation.request() : (simulation.*further)(earlier);
             simulation.at(simulation.now() + interval, [self, number] { self(self, number); });
         };
         simulation.at(simulation.now() + interval * index / callers, [sendNext] { sendNext(sendNext, -1); });
@@ -221,6 +224,71 @@
     RC_ASSERT(wrongResets(simulation) == 0);
 }
 
+// Guards against packets that a restarted balancer passes to one and the same other target with each copy, while the agent of
+// their own target is restarted.
+RC_GTEST_PROP(StreamSimulationTest, RollingRestartsMisrouteNoFlow, ())
+{
+    StreamSimulationSettings settings;
+    settings.seed = *rc::gen::arbitrary<quint64>();
+    settings.balancers = 3;
+    settings.targets = 6;
+    settings.callerTimeout = 5s;
+    StreamSimulation simulation(settings);
+    const TimePoint begin = simulation.now();
+    const TimePoint end = begin + 12s;
+    sendPeriodicRequests(simulation, 60, 1s, end);
+    const auto agentInterval = std::chrono::milliseconds(*rc::gen::inRange(900, 1600));
+    for (int restart = 0; begin + restart * agentInterval < end - 2s; ++restart) {
+        simulation.at(begin + restart * agentInterval, [&simulation, restart, &settings] { simulation.restartAgent(restart % settings.targets, 700ms); });
+    }
+    const auto balancerInterval = std::chrono::milliseconds(*rc::gen::inRange(300, 1200));
+    for (int restart = 0; begin + restart * balancerInterval < end - 2s; ++restart) {
+        simulation.at(begin + restart * balancerInterval, [&simulation, restart, &settings] {
+            simulation.restartBalancer(restart % settings.balancers);
+            simulation.reshuffle();
+        });
+    }
+    simulation.runUntil(end + 6s);
+    RC_ASSERT(wrongResets(simulation) == 0);
+    RC_ASSERT(simulation.misroutedFlows() == 0);
+    RC_ASSERT(simulation.answeredWithin(settings.callerTimeout) == 1.0);
+}
+
+// Guards against packets that reach only the target that remembers an earlier flow of the caller's port, and against
+// requests that are not answered for that reason.
+RC_GTEST_PROP(StreamSimulationTest, PortsThatAreUsedAgainMisrouteNoFlow, ())
+{
+    StreamSimulationSettings settings;
+    settings.seed = *rc::gen::arbitrary<quint64>();
+    settings.balancers = 3;
+    settings.callerTimeout = 5s;
+    StreamSimulation simulation(settings);
+    const TimePoint begin = simulation.now();
+    const TimePoint end = begin + 10s;
+    // The flow of a request carries the next one as well in two of three groups, so that it may be looked up.
+    sendPeriodicRequests(simulation, 10, 400ms, end);
+    sendPeriodicRequests(simulation, 20, 300ms, end, &StreamSimulation::requestFromSamePort);
+    sendPeriodicRequests(simulation, 20, 1s, end, &StreamSimulation::requestFromSamePort);
+    const bool restartsAgents = *rc::gen::arbitrary<bool>();
+    for (int target = 0; target < settings.targets && restartsAgents; ++target) {
+        const TimePoint time = begin + 1s + target * std::chrono::milliseconds(*rc::gen::inRange(400, 1800));
+        simulation.at(time, [&simulation, target] { simulation.restartAgent(target, 300ms); });
+    }
+    const int lookups = *rc::gen::inRange(2, 20);
+    for (int lookup = 0; lookup < lookups; ++lookup) {
+        const TimePoint time = begin + std::chrono::milliseconds(*rc::gen::inRange(1000, 9500));
+        const int balancer = *rc::gen::inRange(0, settings.balancers);
+        simulation.at(time, [&simulation, balancer] {
+            simulation.restartBalancer(balancer);
+            simulation.reshuffle();
+        });
+    }
+    simulation.runUntil(end + 6s);
+    RC_ASSERT(wrongResets(simulation) == 0);
+    RC_ASSERT(simulation.misroutedFlows() == 0);
+    RC_ASSERT(simulation.answeredWithin(settings.callerTimeout) == 1.0);
+}
+
 // Guards against new flows to a draining target from balancers that are notified late.
 RC_GTEST_PROP(StreamSimulationTest, DrainingTargetsGetNoNewFlows, ())
 {
