Hand a search over to an agent that knows all targets

Callers see: requests that wait until their time-out although their target has ended, if the agent that looks the flow up has started less than two seconds before. The wait before a reset, added for targets without an entry, causes it.

Change: a denial tells whether its sender knows all targets. If all targets have denied the flow, a process that does not know all targets passes the packet on to such an agent, which searches with its own knowledge. If nobody knows them, as after a loss of all processes, the wait stays.

--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -130,17 +130,21 @@
 
 // Denials
 
-FlowLookup::Outcome FlowLookup::onNotHeld(TimePoint now, const FlowKey &flow, TargetId target, bool isUnsettled)
+FlowLookup::Outcome FlowLookup::onNotHeld(TimePoint now, const StreamMessage &denial)
 {
+    const FlowKey &flow = denial.flow;
     const auto found = m_lookups.find(flow);
     if (found == m_lookups.end()) {
         return Outcome::Pending;
     }
     Lookup &lookup = found->second;
-    lookup.denied.insert(target);
-    lookup.outstanding.erase(target);
-    lookup.unlisted.erase(target);
-    if (isUnsettled) {
+    lookup.denied.insert(denial.target);
+    lookup.outstanding.erase(denial.target);
+    lookup.unlisted.erase(denial.target);
+    if (denial.knowsAllTargets) {
+        lookup.informedAgent = denial.sender;
+    }
+    if (denial.isUnsettled) {
         // By then the directory contains the entries that the agent has a record of.
         lookup.exhaustiveAfter = now + m_settings.unsettledTime;
     }
@@ -159,9 +163,13 @@
 
 FlowLookup::Outcome FlowLookup::conclude(TimePoint now, const FlowKey &flow, const Lookup &lookup)
 {
-    if (now >= lookup.roundDeadline || !isConclusive(now, lookup)) {
+    if (now >= lookup.roundDeadline) {
         return Outcome::Pending;
     }
+    if (!isConclusive(now, lookup)) {
+        const bool isDenied = lookup.outstanding.empty() && lookup.unlisted.empty() && lookup.isDeniedByOwnTarget;
+        return isDenied && !knowsAllTargets(now) && !lookup.informedAgent.isNull() ? Outcome::KnownElsewhere : Outcome::Pending;
+    }
     // A machine that is gone never answers, and its flows are lost; a live one answers before this deadline, unless its agent
     // is being restarted.
     if (!lookup.unlisted.empty() && now < lookup.unlistedDeadline) {
@@ -172,11 +180,15 @@
 }
 
 bool FlowLookup::isConclusive(TimePoint now, const Lookup &lookup) const
+{
+    return lookup.outstanding.empty() && lookup.isDeniedByOwnTarget && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllTargets(now);
+}
+
+bool FlowLookup::knowsAllTargets(TimePoint now) const
 {
     // A complete read of the directory lacks the targets that live without an entry; their agents announce them to the
     // listed ones.
-    const bool knowsAllTargets = m_directory.hasAllTargets(now) && m_directory.isListed(m_settings.target);
-    return lookup.outstanding.empty() && lookup.isDeniedByOwnTarget && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllTargets;
+    return m_directory.hasAllTargets(now) && m_directory.isListed(m_settings.target);
 }
 
 bool FlowLookup::areUnlistedGone(TimePoint now, const Lookup &lookup) const
@@ -228,6 +240,17 @@
     return found != m_lookups.end() ? found->second.message.packet : QByteArray();
 }
 
+SendStreamMessage FlowLookup::handOver(const FlowKey &flow) const
+{
+    const Lookup &lookup = m_lookups.at(flow);
+    StreamMessage message = lookup.message;
+    message.kind = StreamMessageKind::Locate;
+    ++message.hopCount;
+    message.sender = m_settings.endpoint;
+    message.candidates.clear();
+    return {lookup.informedAgent, std::move(message)};
+}
+
 QString FlowLookup::describe(TimePoint now, const FlowKey &flow) const
 {
     const auto found = m_lookups.find(flow);
--- a/packages/stream/flowlookup.h
+++ b/packages/stream/flowlookup.h
@@ -29,6 +29,8 @@
         Pending,
         /// Every target that might hold the flow has denied it.
         NotHeldByAny,
+        /// The same, but this process does not know all targets yet, and another agent does.
+        KnownElsewhere,
     };
 
     /// A round that has begun; the caller asks the local target, or denies the flow for it.
@@ -52,9 +54,8 @@
     /// Begins the next round, if one is asked for and the budget allows it.
     std::optional<Round> takeRound(TimePoint now, StreamActions &actions);
 
-    /// Processes the denial of a target. @p isUnsettled: its agent has targets whose entries are missing and may
-    /// return, so that the lookup cannot prove yet that no target holds the flow.
-    Outcome onNotHeld(TimePoint now, const FlowKey &flow, TargetId target, bool isUnsettled = false);
+    /// Processes the denial of a target.
+    Outcome onNotHeld(TimePoint now, const StreamMessage &denial);
 
     /// Processes the denial of the local target.
     Outcome onNotHeldByOwnTarget(TimePoint now, const FlowKey &flow);
@@ -62,9 +63,15 @@
     /// Processes any message of the agent: rounds that have left it out are repeated.
     void onAgentMessage(TimePoint now, const Endpoint &agent);
 
+    /// Whether this process knows all targets that may hold flows, including those that live without an entry.
+    bool knowsAllTargets(TimePoint now) const;
+
     /// The latest packet of a flow that is looked up; empty if there is no lookup.
     QByteArray packetOf(const FlowKey &flow) const;
 
+    /// The message that hands the lookup over to an agent that knows all targets, if its outcome is KnownElsewhere.
+    SendStreamMessage handOver(const FlowKey &flow) const;
+
     /// What the lookup is based on, for logs: denials, targets without an answer, and the age of the list of targets.
     QString describe(TimePoint now, const FlowKey &flow) const;
 
@@ -103,6 +110,8 @@
         /// Targets that do not hold the flow, and never will.
         std::set<TargetId> denied;
         bool isDeniedByOwnTarget = false;
+        /// An agent that has denied the flow and knows all targets; null if there is none.
+        Endpoint informedAgent;
         /// Until when the directory may lack targets that an agent has a record of.
         TimePoint exhaustiveAfter{};
         /// Whether the directory was settled when the round began.
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -92,9 +92,7 @@
     if (message.kind == StreamMessageKind::Held) {
         m_lookup.end(message.flow);
     } else if (message.kind == StreamMessageKind::NotHeld) {
-        if (m_lookup.onNotHeld(now, message.flow, message.target, message.isUnsettled) == FlowLookup::Outcome::NotHeldByAny) {
-            resetAfterLookup(now, message.flow, actions);
-        }
+        finishLookup(now, message.flow, m_lookup.onNotHeld(now, message), actions);
     } else if (message.kind == StreamMessageKind::UnlistedTarget) {
         m_directory.recordUnlisted(now, message.targetAddress, message.service);
     } else if (message.kind == StreamMessageKind::Ping) {
@@ -437,9 +435,7 @@
     if (!denyDelivery(now, key, flow.deliveryTag, reason, actions)) {
         removeFlow(now, key);
         actions.emplace_back(SendStreamMessage{receiver, answer(now, StreamMessageKind::NotHeld, key)});
-        if (m_lookup.onNotHeldByOwnTarget(now, key) == FlowLookup::Outcome::NotHeldByAny) {
-            resetAfterLookup(now, key, actions);
-        }
+        finishLookup(now, key, m_lookup.onNotHeldByOwnTarget(now, key), actions);
     }
 }
 
@@ -507,9 +503,7 @@
         denyProbe(now, key, message, actions);
         break;
     default:
-        if (m_lookup.onNotHeldByOwnTarget(now, key) == FlowLookup::Outcome::NotHeldByAny) {
-            resetAfterLookup(now, key, actions);
-        }
+        finishLookup(now, key, m_lookup.onNotHeldByOwnTarget(now, key), actions);
         break;
     }
     return true;
@@ -835,12 +829,28 @@
             round->isOwnTargetAsked && round->message.service == m_settings.service && !m_retention.isComplete(now) && findConfirmed(round->flow) == nullptr;
         if (isOwnTargetAsked) {
             deliverUnconfirmed(now, round->flow, round->message, *m_format.decode(round->message.packet), actions);
-        } else if (m_lookup.onNotHeldByOwnTarget(now, round->flow) == FlowLookup::Outcome::NotHeldByAny) {
-            resetAfterLookup(now, round->flow, actions);
+        } else {
+            finishLookup(now, round->flow, m_lookup.onNotHeldByOwnTarget(now, round->flow), actions);
         }
     }
 }
 
+void StreamAgent::finishLookup(TimePoint now, const FlowKey &key, FlowLookup::Outcome outcome, StreamActions &actions)
+{
+    switch (outcome) {
+    case FlowLookup::Outcome::Pending:
+        break;
+    case FlowLookup::Outcome::NotHeldByAny:
+        resetAfterLookup(now, key, actions);
+        break;
+    case FlowLookup::Outcome::KnownElsewhere:
+        actions.emplace_back(m_lookup.handOver(key));
+        actions.emplace_back(RecordStreamEvent{EventNumber::FlowLocated, key, QStringLiteral("reason=handed-over ") + m_lookup.describe(now, key)});
+        m_lookup.end(key);
+        break;
+    }
+}
+
 void StreamAgent::resetAfterLookup(TimePoint now, const FlowKey &key, StreamActions &actions)
 {
     const std::optional<Segment> segment = m_format.decode(m_lookup.packetOf(key));
@@ -965,7 +975,10 @@
     message.target = m_targetId;
     message.incarnation = m_targetIncarnation;
     message.flow = key;
-    message.isUnsettled = kind == StreamMessageKind::NotHeld && m_directory.hasLapsedTargets(now);
+    if (kind == StreamMessageKind::NotHeld) {
+        message.isUnsettled = m_directory.hasLapsedTargets(now);
+        message.knowsAllTargets = m_lookup.knowsAllTargets(now);
+    }
     const bool carriesLoad = kind == StreamMessageKind::Held || kind == StreamMessageKind::Waiting || kind == StreamMessageKind::Load;
     if (carriesLoad) {
         message.load = load(now);
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -129,6 +129,8 @@
     void startLookup(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     /// Begins the rounds of lookups that are due.
     void runLookups(TimePoint now, StreamActions &actions);
+    /// Ends a lookup if its outcome is known: with a reset, or at an agent that knows more targets.
+    void finishLookup(TimePoint now, const FlowKey &key, FlowLookup::Outcome outcome, StreamActions &actions);
     void resetAfterLookup(TimePoint now, const FlowKey &key, StreamActions &actions);
     void trackCallerSegment(TimePoint now, HeldFlow &flow, const StreamMessage &message, const Segment &segment);
     void terminateFlow(TimePoint now, const FlowKey &key, HeldFlow &flow, const QString &reason, StreamActions &actions);
--- a/packages/stream/streammessage.h
+++ b/packages/stream/streammessage.h
@@ -72,6 +72,8 @@
     /// NotHeld: the sender has targets whose entries are missing and may return. One of them may hold the flow, and a
     /// process that has started since has no record of it.
     bool isUnsettled = false;
+    /// NotHeld: the sender knows all targets, listed or not, so that its own lookup of the flow could end in a reset.
+    bool knowsAllTargets = false;
     /// UnlistedTarget: where the target receives segments.
     Endpoint targetAddress;
     /// The whole packet of the caller; for kinds that carry a segment.
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -68,7 +68,7 @@
         stream << message.flow;
     }
     if (message.kind == StreamMessageKind::NotHeld) {
-        stream << quint8{message.isUnsettled};
+        stream << quint8{message.isUnsettled} << quint8{message.knowsAllTargets};
     }
     if (carriesLoad(message.kind)) {
         stream << message.load;
@@ -101,6 +101,7 @@
     }
     if (message.kind == StreamMessageKind::NotHeld) {
         readWireBool(stream, message.isUnsettled);
+        readWireBool(stream, message.knowsAllTargets);
     }
     if (carriesLoad(message.kind)) {
         readLoad(stream, message.load);
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -781,7 +781,44 @@
     EXPECT_FALSE(resetsCaller(m_ignored)) << "the agent of the unlisted target may be restarted as well";
 }
 
-// Guards against a caller that waits in vain although its target is gone, because the agent was restarted lately.
+// Guards against a caller that waits in vain although its target is gone, because the agent that looks it up was restarted
+// lately: an agent that knows all targets goes on.
+TEST_F(StreamAgentTest, RestartedAgentHandsLookupsOverToAnInformedOne)
+{
+    const StreamMessage located = message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100));
+    bounce(start + 1s, receive(start + 1s, located));
+    reportNotHeld(start + 1001ms, 2);
+    StreamMessage denial;
+    denial.kind = StreamMessageKind::NotHeld;
+    denial.sender = agentAddress(3);
+    denial.target = target(3).id;
+    denial.flow = flow;
+    denial.knowsAllTargets = true;
+    const StreamActions actions = receive(start + 1002ms, denial);
+    EXPECT_FALSE(resetsCaller(actions));
+    const auto handedOver = messages(actions, StreamMessageKind::Locate);
+    ASSERT_EQ(handedOver.size(), 1);
+    EXPECT_EQ(handedOver.front().to, agentAddress(3));
+    EXPECT_EQ(handedOver.front().message.balancer, balancer);
+    EXPECT_EQ(handedOver.front().message.packet, located.packet);
+}
+
+// Guards against agents that count as informed while targets may live that they do not know.
+TEST_F(StreamAgentTest, DenialsTellWhetherTheAgentKnowsAllTargets)
+{
+    const auto knowsAllTargets = [this](TimePoint now) {
+        open(now);
+        StreamMessage probe = message(StreamMessageKind::Probe, callerSegment(AckFlag, 7'000'002, 9'000'001, 100));
+        probe.sender = agentAddress(3);
+        return messages(receive(now, probe), StreamMessageKind::NotHeld).front().message.knowsAllTargets;
+    };
+    EXPECT_FALSE(knowsAllTargets(start + 1s));
+    EXPECT_TRUE(knowsAllTargets(settled));
+    apply({TargetUnlisted{200, target(1).name}}, settled);
+    EXPECT_FALSE(knowsAllTargets(settled + 1s));
+}
+
+// Guards against a caller that waits in vain although its target is gone, because every agent was restarted lately.
 TEST_F(StreamAgentTest, RestartedAgentEndsLookupsOnceUnlistedTargetsAreKnown)
 {
     const StreamMessage located = message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100));
--- a/tests/stream/streammessagecodectest.cpp
+++ b/tests/stream/streammessagecodectest.cpp
@@ -38,6 +38,7 @@
         message.targetAddress = {*rc::gen::arbitrary<quint32>(), *rc::gen::arbitrary<quint16>()};
     }
     message.isUnsettled = message.kind == StreamMessageKind::NotHeld && *rc::gen::arbitrary<bool>();
+    message.knowsAllTargets = message.kind == StreamMessageKind::NotHeld && *rc::gen::arbitrary<bool>();
     if (message.kind == StreamMessageKind::Held || message.kind == StreamMessageKind::Load || message.kind == StreamMessageKind::Waiting) {
         message.load = {*rc::gen::arbitrary<quint16>(),
                         *rc::gen::arbitrary<quint16>(),
