Let the soak see misrouted flows, ports that are used again and missing entries

The soak checked resets only, its callers used each port once, its targets left together with their entries, and it restarted processes mostly while the list of targets was complete.

Change: Arrivals checks that the packets of an open flow reach its target; a reset is checked against the flow of the caller's sequence numbers. Ports are used again 0.3 s after their flow has ended. A target replaces a flow that has ended by a new opening, returns an opening on an open flow, and ignores packets outside its window.

--- a/proof/soak/callers.py
+++ b/proof/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers, and the router that forwards their packets to the balancers."""
 
 import asyncio
+import collections
 import zlib
 
 from . import segments
@@ -13,6 +14,8 @@
 # Time that a caller waits for the answer to a request, and the number of further attempts that it makes within it.
 REQUEST_TIMEOUT_SECONDS, REQUEST_RETRIES = 4.0, 2
 PROBE_INTERVAL_SECONDS, FAILED_PROBES_LIMIT = 0.5, 2
+# Time from the end of a flow until its port is used again.
+PORT_REUSE_SECONDS = 0.3
 ANSWER_LENGTHS = {"safe": 1000, "unsafe": 600, "download": 6000}
 
 
@@ -73,7 +76,7 @@
 
 
 class Flow:
-    """One flow of a caller, from a port that no other flow uses."""
+    """One flow of a caller, from a port that no other open flow uses."""
 
     def __init__(self, caller, port, route):
         self.caller, self.route = caller, route
@@ -128,7 +131,7 @@
             self.is_ended = True
             if self.is_open:
                 self.send(flags)
-        self.caller.flows.pop(self.source[1], None)
+        self.caller.release_port(self)
 
     def receive(self, segment):
         if segment.flags & RST:
@@ -153,7 +156,7 @@
         if self.is_open and not 0 <= distance(segment.sequence, self.expected) + segments.RESET_WINDOW_BYTES <= 2 * segments.RESET_WINDOW_BYTES:
             return
         if self.is_open and is_system:
-            self.caller.deployment.check_reset(self.key)
+            self.caller.deployment.check_reset(self.key, self.sequence, self.expected)
         self.is_ended = True
         for future, result in ((self.opened, False), (self.answer, None)):
             if future is not None and not future.done():
@@ -189,6 +192,8 @@
         self.address = deployment.address("callers", index + 1)
         self.flows = {}
         self._next_port = 20000
+        # Ports whose flows have ended, and when each may be used again.
+        self._released_ports = collections.deque()
         self._loop = asyncio.get_running_loop()
         self._socket = datagram_socket(self.address, CALLERS_PORT)
         self._loop.add_reader(self._socket, drain, self._socket, lambda packet, sender: self._receive(packet))
@@ -203,10 +208,22 @@
         if flow is not None and not self.deployment.links.is_lost():
             flow.receive(segment)
 
-    async def open_flow(self, route):
+    def release_port(self, flow):
+        port = flow.source[1]
+        if self.flows.get(port) is flow:
+            del self.flows[port]
+            self._released_ports.append((port, self._loop.time() + PORT_REUSE_SECONDS))
+
+    def _take_port(self):
+        if self._released_ports and self._loop.time() >= self._released_ports[0][1]:
+            return self._released_ports.popleft()[0]
         self._next_port += 1
-        flow = Flow(self, self._next_port, route)
-        self.flows[self._next_port] = flow
+        return self._next_port
+
+    async def open_flow(self, route):
+        port = self._take_port()
+        flow = Flow(self, port, route)
+        self.flows[port] = flow
         is_open = await flow.open()
         return flow, is_open
 
--- a/proof/soak/deployment.py
+++ b/proof/soak/deployment.py
@@ -224,15 +224,19 @@
         self.store.put(f"servers/{target.name}", target.entry())
         return target
 
-    async def replace_target(self, machine, drain_time, service=None):
-        """Drains the target, stops it and its agent, and starts another target at the same address."""
+    async def replace_target(self, machine, drain_time, service=None, unlisted_time=0):
+        """Drains the target, stops it and its agent, and starts another target at the same address.
+
+        The target outlives its entry by `unlisted_time`.
+        """
         target = machine.target
         if machine.is_down or not target.is_alive or target.state == "draining":
             return
         self.drain(target)
         await asyncio.sleep(drain_time)
-        target.crash()
         self.store.remove(f"servers/{target.name}")
+        await asyncio.sleep(unlisted_time)
+        target.crash()
         await self.stop(machine)
         # An address is reused after two seconds at the earliest.
         await asyncio.sleep(2.0)
@@ -330,12 +334,31 @@
     def flow_opened(self, key):
         self._opening_times[key] = self.history.clock()
 
-    def check_reset(self, key):
+    def find_holder(self, key, sequence, acknowledgement):
+        """The machine whose target holds the flow of a caller's sequence numbers, and the flow there; None if no target does."""
+        for machine in self.agents():
+            flow = machine.target.find_open(key)
+            if flow is not None and flow.fits(sequence, acknowledgement):
+                return machine, flow
+        return None, None
+
+    def record_arrival(self, target, key, segment):
+        holder, flow = self.find_holder(key, segment.sequence, segment.acknowledgement)
+        if holder is None or self.routes.get(key[1], {}).get("dropped") is not None:
+            return
+        if holder.target is target:
+            self.history.arrivals.record_own(flow, target.name)
+            return
+        involved = (holder.name, target.machine.name, *(balancer.name for balancer in self.balancers()))
+        packet = (segment.sequence, segment.acknowledgement, segment.flags, len(segment.data))
+        self.history.arrivals.record_stray(flow, packet, target.name, self.history.is_undisturbed(*involved))
+
+    def check_reset(self, key, sequence, acknowledgement):
         """Checks a reset that the load balancer itself sent on an open flow: no running target may hold the flow."""
         if self.routes.get(key[1], {}).get("dropped") is not None:
             return
-        for machine in self.agents():
-            if machine.target.holds(key):
-                age = self.history.clock() - self._opening_times.get(key, 0)
-                self.history.add_violation("flow", key, f"the flow from port {key[0][1]} was reset after {age:.2f} s although {machine.target.name} "
-                                                        f"next to {machine.name} holds it")
+        machine, _ = self.find_holder(key, sequence, acknowledgement)
+        if machine is not None:
+            age = self.history.clock() - self._opening_times.get(key, 0)
+            self.history.add_violation("flow", key, f"the flow from port {key[0][1]} was reset after {age:.2f} s although {machine.target.name} "
+                                                    f"next to {machine.name} holds it")
--- a/proof/soak/faults.py
+++ b/proof/soak/faults.py
@@ -36,6 +36,16 @@
     return sorted(steps, key=lambda step: step.at), is_planned_only
 
 
+def make_flow_plan(random, seconds, is_planned_only):
+    """Returns further steps, in which processes are restarted while the list of targets lacks some that hold flows."""
+    leaving = random.uniform(0.5, 0.4 * seconds)
+    # The entry leaves after 3.2 to 3.7 s; processes that start then have never seen it.
+    steps = [("leave", leaving), ("roll_both", leaving + random.uniform(3.2, 4.5)), ("roll_both", random.uniform(0.5, seconds))]
+    if not is_planned_only and random.random() < 0.5:
+        steps.append(("outage", random.uniform(0.5, seconds)))
+    return [Step(at, kind, tuple(random.random() for _ in range(4))) for kind, at in steps]
+
+
 class Faults:
     """Executes the steps of a plan on a deployment."""
 
@@ -58,6 +68,13 @@
         begin, count = int(draw * len(items)), 1 + int(draw * 1000) % maximum
         return [items[(begin + index) % len(items)] for index in range(min(count, len(items)))]
 
+    def _has_other_targets(self, machine, count):
+        """Whether the service has this many ready targets besides that of the machine."""
+        others = [other for other in self._deployment.agents()
+                  if other is not machine and other.service == machine.service and other.target.is_alive and other.target.state == "ready"
+                  and other.zone not in self._deployment.out_zones]
+        return len(others) >= count
+
     # Planned changes
 
     async def _roll(self, first, gap, which, _):
@@ -72,15 +89,22 @@
 
     async def _release(self, first, drain, reuse, _):
         machine = self._choose(self._deployment.agents(), first)
-        others = [other for other in self._deployment.agents()
-                  if other is not machine and other.service == machine.service and other.target.is_alive and other.target.state == "ready"
-                  and other.zone not in self._deployment.out_zones]
         # A service keeps at least two ready targets.
-        if len(others) < 2:
+        if not self._has_other_targets(machine, 2):
             return
-        service = SERVICES[reuse < 0.5] if len(others) > 2 and reuse < 0.3 else None
+        service = SERVICES[reuse < 0.5] if self._has_other_targets(machine, 3) and reuse < 0.3 else None
         await self._deployment.replace_target(machine, 3.2 + 2 * drain, service)
 
+    async def _leave(self, first, drain, remaining, _):
+        """The entry of a target leaves before the target ends."""
+        machine = self._choose(self._deployment.agents(), first)
+        if self._has_other_targets(machine, 2):
+            await self._deployment.replace_target(machine, 3.2 + 0.5 * drain, unlisted_time=3 + 2 * remaining)
+
+    async def _roll_both(self, first_balancer, first_agent, gap, _):
+        """Balancers and agents are restarted in two series that overlap."""
+        await asyncio.gather(self._roll(first_balancer, gap, 0, 0), self._roll(first_agent, gap, 1, 0))
+
     async def _routes(self, which, pause, _, __):
         if which < 0.5 or not self._added:
             for number in range(2):
@@ -178,6 +202,22 @@
             if target.is_alive:
                 self._deployment.store.put(f"servers/{target.name}", target.entry())
 
+    async def _outage(self, length, expiry, which, first):
+        """Entries expire while the store is away; processes are restarted as planned once it is back, before all entries are."""
+        if self._deployment.store.modes:
+            return
+        self._deployment.store.modes["*"] = "silent"
+        self._history.mark_disturbed("*", self._history.clock() + 3 + 2 * length)
+        expired = self._expire_entries(expiry / 2)
+        await asyncio.sleep(3 + 2 * length)
+        del self._deployment.store.modes["*"]
+        roll = asyncio.create_task(self._roll(first, 0, which, 0))
+        await asyncio.sleep(1.8)
+        for target in expired:
+            if target.is_alive:
+                self._deployment.store.put(f"servers/{target.name}", target.entry())
+        await roll
+
     def _expire_entries(self, draw):
         targets = [machine.target for machine in self._choose_range(self._deployment.agents(), draw * 2, 3) if machine.target.is_alive]
         for target in targets:
--- a/proof/soak/history.py
+++ b/proof/soak/history.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 
+from .arrivals import Arrivals
+
 # Upper bounds for a change to take effect, as required by the smallest deployments of the users.
 DRAIN_BOUND_SECONDS, OUT_BOUND_SECONDS, ROUTE_BOUND_SECONDS = 3.0, 5.0, 3.0
 # A process counts as undisturbed once no fault has affected it for this long.
@@ -38,6 +40,7 @@
         self._recorded = set()
         self.faults_end = None
         self.is_planned_only = True
+        self.arrivals = Arrivals(self)
 
     def log_event(self, text):
         self.timeline.append(f"{self.clock() - self._start_time:9.3f} {text}")
--- a/proof/soak/run.py
+++ b/proof/soak/run.py
@@ -12,11 +12,11 @@
 
 from .callers import REQUEST_TIMEOUT_SECONDS
 from .deployment import Deployment
-from .faults import Faults, make_plan
+from .faults import Faults, make_flow_plan, make_plan
 from .history import RECOVERY_BOUND_SECONDS, History
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-LONG_FLOWS, LONG_FLOW_PAUSE_SECONDS, SHORT_FLOW_INTERVAL_SECONDS = 16, 0.4, 0.06
+LONG_FLOWS, LONG_FLOW_PAUSE_SECONDS, SHORT_FLOW_INTERVAL_SECONDS = 32, 0.4, 0.06
 # Faults may last this long after the last one begins; the rest of a run is free of faults.
 LONGEST_FAULT_SECONDS = 12.0
 # Share of short flows that choose among all routes, those added and removed during the run included.
@@ -74,6 +74,9 @@
     history = History(loop.time)
     slot, reservation = reserve_slot()
     steps, is_planned_only = make_plan(generator, seconds)
+    # Drawn apart, so that the first plan of a seed stays as it was when the seed was recorded.
+    flow_generator = random.Random(f"flows of {seed}")
+    steps = sorted([*steps, *make_flow_plan(flow_generator, seconds, is_planned_only)], key=lambda step: step.at)
     history.is_planned_only = is_planned_only
     deployment = Deployment(history, generator, slot, folder, daemons, size)
     try:
--- a/proof/soak/segments.py
+++ b/proof/soak/segments.py
@@ -72,6 +72,11 @@
     return (sequence + count) & 0xFFFFFFFF
 
 
+def are_near(first, second):
+    """Whether two sequence numbers may belong to one direction of one flow."""
+    return abs(distance(first, second)) <= RESET_WINDOW_BYTES
+
+
 def distance(later, earlier):
     """Signed difference of two sequence numbers modulo 2^32; positive if `later` is ahead of `earlier`."""
     gap = (later - earlier) & 0xFFFFFFFF
--- a/proof/soak/targets.py
+++ b/proof/soak/targets.py
@@ -15,11 +15,12 @@
 WINDOW_PACKETS = 16
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class Flow:
     key: tuple
     sequence: int
     expected: int
+    opening_sequence: int = 0
     is_open: bool = False
     has_ended: bool = False
     received: bytes = b""
@@ -28,6 +29,10 @@
     retransmit_timer: asyncio.TimerHandle = None
     retransmits: int = 0
 
+    def fits(self, sequence, acknowledgement):
+        """Whether sequence numbers of the caller belong to this flow, and not to another one between the same endpoints."""
+        return segments.are_near(sequence, self.expected) and segments.are_near(acknowledgement, self.sequence)
+
 
 class Target:
     """One incarnation of a target, on the machine of its agent."""
@@ -62,13 +67,16 @@
         self._socket.close()
         self._server.close()
         for flow in self._flows.values():
-            if flow.retransmit_timer:
-                flow.retransmit_timer.cancel()
+            self._end(flow)
         self._flows.clear()
 
     def holds(self, key):
+        return self.find_open(key) is not None
+
+    def find_open(self, key):
+        """The open flow with the key, or None."""
         flow = self._flows.get(key)
-        return self.is_alive and flow is not None and flow.is_open and not flow.has_ended
+        return flow if self.is_alive and flow is not None and flow.is_open and not flow.has_ended else None
 
     def entry(self):
         cold = max(0, int((self.cold_until - self.history.clock()) * 1000))
@@ -84,6 +92,9 @@
             # The agent of this target is down, so the packet is lost.
             pass
 
+    def _bounce(self, segment):
+        self._send_packet(segment.encode(segment.tag, segment.flags | BOUNCED))
+
     def _send_segment(self, flow, flags, data=b"", sequence=None):
         caller, route = flow.key
         self._send_packet(Segment(route, caller, flags, flow.sequence if sequence is None else sequence, flow.expected, data).encode())
@@ -100,17 +111,24 @@
             self._open(key, segment)
             return
         flow = self._flows.get(key)
+        self.deployment.record_arrival(self, key, segment)
         if flow is None or (not flow.is_open and segment.acknowledgement != flow.sequence):
-            self._send_packet(segment.encode(segment.tag, segment.flags | BOUNCED))
+            self._bounce(segment)
+            return
+        if flow.has_ended:
+            if not segment.flags & RST:
+                self._send_segment(flow, RST if segment.data else ACK)
+            return
+        if not flow.fits(segment.sequence, segment.acknowledgement):
+            # A packet of another flow between the same endpoints.
+            if not segment.flags & RST:
+                self._send_segment(flow, ACK)
             return
         flow.is_open = True
         if segment.flags & RST:
             self._end(flow)
             self._flows.pop(key, None)
             return
-        if flow.has_ended:
-            self._send_segment(flow, RST if segment.data else ACK)
-            return
         self._acknowledge(flow, segment.acknowledgement)
         if segment.data:
             self._receive_data(flow, segment)
@@ -124,9 +142,14 @@
             self.history.add_violation("forged", key, f"{self.name} received an answer to an opening")
             return
         flow = self._flows.get(key)
+        if flow is not None and flow.opening_sequence != segment.sequence:
+            if flow.is_open and not flow.has_ended:
+                self._bounce(segment)
+                return
+            flow = None
         if flow is None:
             self.deployment.check_opening(self, segment.destination)
-            flow = Flow(key, self.deployment.random.getrandbits(32), add(segment.sequence, 1))
+            flow = Flow(key, self.deployment.random.getrandbits(32), add(segment.sequence, 1), segment.sequence)
             flow.sequence = add(flow.sequence, 1)
             self._flows[key] = flow
         self._send_segment(flow, SYN | ACK, sequence=add(flow.sequence, -1))
@@ -201,6 +224,8 @@
         flow.retransmit_timer = self._loop.call_later(longer, self._retransmit, flow, longer)
 
     def _end(self, flow):
+        if flow.is_open and not flow.has_ended:
+            self.history.arrivals.end_flow(flow, self.name)
         flow.has_ended = True
         if flow.retransmit_timer:
             flow.retransmit_timer.cancel()
