Replace a queued opening by a later one from the same port

Callers see: an opening that is dropped, up to the end of its copies, because one that the caller has given up still waits for room under the same port.

Change: the latest opening takes the place of the queued one.

Found by reading; not seen in a run of real processes.

--- a/packages/stream/openingqueue.cpp
+++ b/packages/stream/openingqueue.cpp
@@ -15,6 +15,12 @@
     m_positions.emplace(entry.flow, position);
 }
 
+void OpeningQueue::replaceMessage(const FlowKey &flow, const StreamMessage &message)
+{
+    RP_ASSERT(contains(flow));
+    m_entries.at(m_positions.at(flow)).message = message;
+}
+
 std::optional<OpeningQueue::Entry> OpeningQueue::take(TimePoint now)
 {
     if (m_entries.empty()) {
--- a/packages/stream/openingqueue.h
+++ b/packages/stream/openingqueue.h
@@ -39,6 +39,9 @@
     /// Appends an opening; its flow must not be queued already.
     void add(const Entry &entry);
 
+    /// Replaces the message of a queued flow, which keeps its place.
+    void replaceMessage(const FlowKey &flow, const StreamMessage &message);
+
     /// Takes the most urgent opening; nothing if the queue is empty. Within a priority the order is FIFO, but LIFO once
     /// the earliest opening is past its fifoDeadline: the callers of later openings are more likely to be still
     /// waiting.
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -288,6 +288,8 @@
         return;
     }
     if (m_queue.contains(key)) {
+        // The caller may have given up the queued opening and have sent another one from the same port.
+        m_queue.replaceMessage(key, message);
         actions.emplace_back(SendStreamMessage{message.balancer, answer(now, StreamMessageKind::Waiting, key)});
         return;
     }
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -277,6 +277,22 @@
     EXPECT_TRUE(reachesTarget(settled)) << "the earlier flow itself";
 }
 
+// Guards against a caller whose opening is dropped because one that it has given up still waits under the same port.
+TEST_F(StreamAgentTest, LaterOpeningReplacesTheQueuedOne)
+{
+    for (quint16 port = 1; m_agent.load(settled).requestsInProgress < 4; ++port) {
+        receive(settled, message(StreamMessageKind::Opening, callerSegment(SynFlag, 1, 0, 0, {{caller.address, port}, route})));
+    }
+    const StreamActions queued = receive(settled, message(StreamMessageKind::Opening, callerSegment(SynFlag, 5)));
+    EXPECT_EQ(messages(queued, StreamMessageKind::Waiting).size(), 1);
+    receive(settled + 10ms, message(StreamMessageKind::Opening, callerSegment(SynFlag, 7'000'000)));
+    StreamActions released;
+    m_agent.onTick(settled + 100ms, released);
+    const std::vector<Segment> openings = segments<SendToStreamTarget>(released);
+    ASSERT_EQ(openings.size(), 1);
+    EXPECT_EQ(openings.front().sequence, 7'000'000);
+}
+
 // Guards against a reset of an open flow because targets have denied an earlier flow of the caller's port.
 TEST_F(StreamAgentTest, DenialsOfAnEarlierFlowEndNoLookup)
 {
