Know an announced target by its service, not by its address alone

Callers would see: a reset of an open flow of a target without an entry, if a target of another service had left the same address within a minute before.

Cause: the record of the earlier target counted as that of the announced one.

Change: address and service name the record. A listing that is older than what is known removes no announced target.

--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -491,8 +491,7 @@
     removeFlow(now, key);
     const StreamMessage message = delivery.message;
     if (message.kind != StreamMessageKind::Opening) {
-        actions.emplace_back(
-            RecordStreamEvent{EventNumber::FlowDenied, key, QStringLiteral("reason=%1 message=%2").arg(reason).arg(static_cast<int>(message.kind))});
+        actions.emplace_back(RecordStreamEvent{EventNumber::FlowDenied, key, QStringLiteral("reason=") + reason});
     }
     switch (message.kind) {
     case StreamMessageKind::Opening:
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -33,7 +33,7 @@
 {
     bool isKnown = false;
     for (auto &[id, entry] : m_entries) {
-        if (entry.target.address != address) {
+        if (entry.target.address != address || entry.target.service != service) {
             continue;
         }
         isKnown = true;
@@ -75,11 +75,11 @@
 
 void TargetDirectory::applyChange(TimePoint now, const TargetListed &change)
 {
-    m_entries.erase(targetIdOf(unlistedName(change.target.address).toUtf8()));
     Entry &entry = m_entries[change.target.id];
     if (change.revision < entry.revision) {
         return;
     }
+    m_entries.erase(targetIdOf(unlistedName(change.target.address).toUtf8()));
     const bool isNewIncarnation = entry.target.incarnation != change.target.incarnation;
     if (!change.target.isDraining) {
         entry.drainingSince.reset();
--- a/packages/stream/targetdirectory.h
+++ b/packages/stream/targetdirectory.h
@@ -68,7 +68,7 @@
     /// Applies a change.
     void apply(TimePoint now, const DirectoryChange &change);
 
-    /// The agent of a target that is not listed announces it: records the target as departed, unless its address is known.
+    /// The agent of a target that is not listed announces it: records the target as departed, unless it is known.
     void recordUnlisted(TimePoint now, const Endpoint &address, ServiceId service);
 
     /// Marks lapsed entries as departed and removes departed ones, as they become due.
--- a/tests/stream/targetdirectorytest.cpp
+++ b/tests/stream/targetdirectorytest.cpp
@@ -276,3 +276,15 @@
     EXPECT_EQ(directory.entries().size(), 2);
     EXPECT_TRUE(directory.isListed(targetAddress(2)));
 }
+
+// Guards against the same for a target at an address that a target of another service has left lately.
+TEST(TargetDirectoryTest, AnnouncedTargetsAreKnownByTheirService)
+{
+    TargetDirectory directory = directoryWith(reading({target(1), target(2)}));
+    directory.apply(start, TargetUnlisted{200, target(2).name});
+    directory.onTick(start + 2s);
+    const ServiceId other = serviceIdOf("records");
+    directory.recordUnlisted(start + 3s, targetAddress(2), other);
+    const auto &entries = directory.entries();
+    EXPECT_TRUE(std::ranges::any_of(entries, [other](const auto &item) { return item.second.target.service == other; }));
+}
