Do not take a reset of a target for proof that it holds the flow

Callers see: a reset of an open flow.

A target also resets flows that it does not hold.

Change: a reset of a target that has not confirmed the flow is a denial and does not reach the caller. If every target denies the flow, the search resets it.

--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -118,11 +118,14 @@
     }
     const FlowKey key = segment->flowFromTarget();
     HeldFlow *flow = find(key);
-    if (flow != nullptr && flow->state == HeldFlow::State::Unconfirmed && !flow->position.fits(FlowPosition::fromTarget(*segment))) {
-        // The target remembers an earlier flow between these endpoints. Its answer, which may be a reset, is not for the
-        // present one.
-        denyUnconfirmed(now, key, *flow, QStringLiteral("earlier-flow"), actions);
-        return;
+    if (flow != nullptr && flow->state == HeldFlow::State::Unconfirmed) {
+        // A target may reset a flow that another one holds, with the numbers of the packet, and may remember an earlier flow
+        // between these endpoints. Its answer is not for the caller then.
+        const bool isReset = segment->has(RstFlag);
+        if (isReset || !flow->position.fits(FlowPosition::fromTarget(*segment))) {
+            denyUnconfirmed(now, key, *flow, isReset ? QStringLiteral("target-reset") : QStringLiteral("earlier-flow"), actions);
+            return;
+        }
     }
     actions.emplace_back(SendToStreamCaller{key.caller, packet});
     if (flow == nullptr) {
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -264,6 +264,20 @@
     }
 }
 
+// Guards against a reset of an open flow by a target that does not hold it: it may answer with the numbers of the packet.
+TEST_F(StreamAgentTest, ResetOfATargetDoesNotConfirmTheFlow)
+{
+    StreamMessage probe = message(StreamMessageKind::Probe, callerSegment(AckFlag, 2, 1001, 100));
+    probe.sender = agentAddress(3);
+    receive(start + 1s, probe);
+    Segment reset = targetSegment(RstFlag | AckFlag, 1001);
+    reset.acknowledgement = 2;
+    const StreamActions answered = fromTarget(start + 1s, reset);
+    EXPECT_TRUE(segments<SendToStreamCaller>(answered).empty());
+    EXPECT_TRUE(messages(answered, StreamMessageKind::Held).empty());
+    EXPECT_EQ(messages(answered, StreamMessageKind::NotHeld).size(), 1);
+}
+
 // Guards against the same at an agent that has a record of the earlier flow, also an open one.
 TEST_F(StreamAgentTest, RecordOfAnEarlierFlowDeniesTheFlow)
 {
