--- a/tests/stream/streamsimulationtest.cpp
+++ b/tests/stream/streamsimulationtest.cpp
@@ -31,6 +31,20 @@
     }
 }
 
+/// Restarts balancers at random times between @p earliest and 9.5 s from now, and sends the callers' packets through others, so
+/// that their flows are looked up.
+void restartBalancersAtRandom(StreamSimulation &simulation, int balancers, int restarts, std::chrono::milliseconds earliest)
+{
+    for (int restart = 0; restart < restarts; ++restart) {
+        const TimePoint time = simulation.now() + std::chrono::milliseconds(*rc::gen::inRange<int>(static_cast<int>(earliest.count()), 9500));
+        const int balancer = *rc::gen::inRange(0, balancers);
+        simulation.at(time, [&simulation, balancer] {
+            simulation.restartBalancer(balancer);
+            simulation.reshuffle();
+        });
+    }
+}
+
 int wrongResets(const StreamSimulation &simulation)
 {
     int sum = 0;
@@ -211,15 +225,7 @@
         const TimePoint time = begin + 2500ms + target * std::chrono::milliseconds(*rc::gen::inRange(200, 1800));
         simulation.at(time, [&simulation, target] { simulation.restartAgent(target, 300ms); });
     }
-    const int lookups = *rc::gen::inRange(2, 8);
-    for (int lookup = 0; lookup < lookups; ++lookup) {
-        const TimePoint time = begin + std::chrono::milliseconds(*rc::gen::inRange(2500, 9500));
-        const int balancer = *rc::gen::inRange(0, settings.balancers);
-        simulation.at(time, [&simulation, balancer] {
-            simulation.restartBalancer(balancer);
-            simulation.reshuffle();
-        });
-    }
+    restartBalancersAtRandom(simulation, settings.balancers, *rc::gen::inRange(2, 8), 2500ms);
     simulation.runUntil(end + 2s);
     RC_ASSERT(wrongResets(simulation) == 0);
 }
@@ -274,15 +280,7 @@
         const TimePoint time = begin + 1s + target * std::chrono::milliseconds(*rc::gen::inRange(400, 1800));
         simulation.at(time, [&simulation, target] { simulation.restartAgent(target, 300ms); });
     }
-    const int lookups = *rc::gen::inRange(2, 20);
-    for (int lookup = 0; lookup < lookups; ++lookup) {
-        const TimePoint time = begin + std::chrono::milliseconds(*rc::gen::inRange(1000, 9500));
-        const int balancer = *rc::gen::inRange(0, settings.balancers);
-        simulation.at(time, [&simulation, balancer] {
-            simulation.restartBalancer(balancer);
-            simulation.reshuffle();
-        });
-    }
+    restartBalancersAtRandom(simulation, settings.balancers, *rc::gen::inRange(2, 20), 1s);
     simulation.runUntil(end + 6s);
     RC_ASSERT(wrongResets(simulation) == 0);
     RC_ASSERT(simulation.misroutedFlows() == 0);
