--- a/proof/soak/faults.py
+++ b/proof/soak/faults.py
@@ -198,9 +198,7 @@
             del self._deployment.store.modes[name]
         # Targets whose entries have expired register again within two seconds.
         await asyncio.sleep(expiry * 2)
-        for target in expired:
-            if target.is_alive:
-                self._deployment.store.put(f"servers/{target.name}", target.entry())
+        self._register_again(expired)
 
     async def _outage(self, length, expiry, which, first):
         """Entries expire while the store is away; processes are restarted as planned once it is back, before all entries are."""
@@ -213,10 +211,13 @@
         del self._deployment.store.modes["*"]
         roll = asyncio.create_task(self._roll(first, 0, which, 0))
         await asyncio.sleep(1.8)
-        for target in expired:
+        self._register_again(expired)
+        await roll
+
+    def _register_again(self, targets):
+        for target in targets:
             if target.is_alive:
                 self._deployment.store.put(f"servers/{target.name}", target.entry())
-        await roll
 
     def _expire_entries(self, draw):
         targets = [machine.target for machine in self._choose_range(self._deployment.agents(), draw * 2, 3) if machine.target.is_alive]
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -79,14 +79,20 @@
         return fromTarget(now, segment);
     }
 
-    StreamActions reportNotHeld(TimePoint now, int index)
+    /// Target number @p index does not hold the flow.
+    static StreamMessage denialOf(int index)
     {
         StreamMessage denial;
         denial.kind = StreamMessageKind::NotHeld;
         denial.sender = agentAddress(index);
         denial.target = target(index).id;
         denial.flow = flow;
-        return receive(now, denial);
+        return denial;
+    }
+
+    StreamActions reportNotHeld(TimePoint now, int index)
+    {
+        return receive(now, denialOf(index));
     }
 
     /// A configuration with another idle timeout is published.
@@ -651,11 +657,7 @@
 TEST_F(StreamAgentTest, PeersThatMissTargetsPreventAReset)
 {
     receive(settled, message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100)));
-    StreamMessage denial;
-    denial.kind = StreamMessageKind::NotHeld;
-    denial.sender = agentAddress(2);
-    denial.target = target(2).id;
-    denial.flow = flow;
+    StreamMessage denial = denialOf(2);
     denial.isUnsettled = true;
     receive(settled + 1ms, denial);
     EXPECT_FALSE(resetsCaller(reportNotHeld(settled + 2ms, 3)));
@@ -818,11 +820,7 @@
     const StreamMessage located = message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100));
     bounce(start + 1s, receive(start + 1s, located));
     reportNotHeld(start + 1001ms, 2);
-    StreamMessage denial;
-    denial.kind = StreamMessageKind::NotHeld;
-    denial.sender = agentAddress(3);
-    denial.target = target(3).id;
-    denial.flow = flow;
+    StreamMessage denial = denialOf(3);
     denial.knowsAllTargets = true;
     const StreamActions actions = receive(start + 1002ms, denial);
     EXPECT_FALSE(resetsCaller(actions));
@@ -1175,11 +1173,7 @@
 TEST_F(StreamAgentTest, DenialsOfUnsettledAgentsCountOnceMissingEntriesAreKnown)
 {
     receive(settled, locate(caller.port));
-    StreamMessage denial;
-    denial.kind = StreamMessageKind::NotHeld;
-    denial.sender = agentAddress(2);
-    denial.target = target(2).id;
-    denial.flow = flow;
+    StreamMessage denial = denialOf(2);
     denial.isUnsettled = true;
     receive(settled + 1ms, denial);
     EXPECT_FALSE(resetsCaller(reportNotHeld(settled + 2ms, 3)));
--- a/tests/stream/streamsimulation.cpp
+++ b/tests/stream/streamsimulation.cpp
@@ -26,12 +26,18 @@
 constexpr quint32 sequenceWindow = 76'800;
 /// Time from the end of a flow until its caller opens another one from the same port.
 constexpr Duration portReuseDelay = 50ms;
-/// A flow is misrouted if at least this many segments reach other targets within a span of this length, and none its own.
+/// A flow is misrouted if at least this many segments, not counting copies, reach other targets within a span of this length,
+/// and none its own; or if as many, with copies, do so for at least this long.
 constexpr std::size_t misroutedSegments = 3;
 constexpr Duration misroutingLimit = 2s;
 /// The probes of one segment reach the targets within this time of each other.
 constexpr Duration probeSpread = 20ms;
 
+bool isInWindow(quint32 sequence, quint32 expected)
+{
+    return sequence - expected + sequenceWindow <= 2 * sequenceWindow;
+}
+
 Endpoint balancerAddress(int index)
 {
     return {0x0a020001U + static_cast<quint32>(index), StreamTestData::agentPort};
@@ -60,18 +66,19 @@
         }
         const auto flow = m_flows.find(key);
         const bool hasEnded = flow != m_flows.end() && flow->second.hasEnded;
-        const bool isOwnFlow = flow != m_flows.end() && !hasEnded && (flow->second.isOpen || segment.acknowledgement == flow->second.sequence + 1);
+        const bool isKnown = flow != m_flows.end() && !hasEnded && (flow->second.isOpen || segment.acknowledgement == flow->second.sequence + 1);
+        // A target may hold another flow between the same endpoints.
+        const bool isOwnFlow = isKnown && isInWindow(segment.sequence, flow->second.callerEnd);
         m_simulation.recordArrival(key, isOwnFlow);
         if (hasEnded) {
             answer(key, segment.dataLength > 0 ? RstFlag | AckFlag : AckFlag, 0);
             return;
         }
-        if (!isOwnFlow) {
+        if (!isKnown) {
             bounce(segment);
             return;
         }
-        if (flow->second.callerEnd - segment.sequence + sequenceWindow > 2 * sequenceWindow) {
-            // A late segment of an earlier flow between the same endpoints.
+        if (!isOwnFlow) {
             answer(key, AckFlag, 0);
             return;
         }
@@ -613,7 +620,7 @@
         return;
     }
     if (segment.has(RstFlag)) {
-        if (caller.isOpen && segment.sequence - (caller.targetSequence + 1) + sequenceWindow > 2 * sequenceWindow) {
+        if (caller.isOpen && !isInWindow(segment.sequence, caller.targetSequence + 1)) {
             return;
         }
         const bool isHeld = std::ranges::any_of(m_targets, [&caller](const auto &target) { return target != nullptr && target->holds(caller.flow); });
@@ -680,7 +687,7 @@
             m_misroutedFlows.insert(key);
         }
         misrouting = {m_now, {}};
-    } else if (misrouting.strays.empty() || m_now >= misrouting.strays.back() + probeSpread) {
+    } else {
         misrouting.strays.push_back(m_now);
     }
 }
@@ -690,8 +697,19 @@
     if (end < latestOwn + misroutingLimit) {
         return false;
     }
-    for (std::size_t index = misroutedSegments - 1; index < strays.size(); ++index) {
-        if (strays[index] - strays[index - (misroutedSegments - 1)] <= misroutingLimit) {
+    std::vector<TimePoint> later;
+    std::ranges::copy_if(strays, std::back_inserter(later), [this](TimePoint stray) { return stray >= latestOwn + probeSpread; });
+    if (later.size() >= misroutedSegments && later.back() - later.front() >= misroutingLimit) {
+        return true;
+    }
+    std::vector<TimePoint> distinct;
+    for (const TimePoint stray : strays) {
+        if (distinct.empty() || stray >= distinct.back() + probeSpread) {
+            distinct.push_back(stray);
+        }
+    }
+    for (std::size_t index = misroutedSegments - 1; index < distinct.size(); ++index) {
+        if (distinct[index] - distinct[index - (misroutedSegments - 1)] <= misroutingLimit) {
             return true;
         }
     }
--- a/tests/stream/streamsimulation.h
+++ b/tests/stream/streamsimulation.h
@@ -142,7 +142,7 @@
     /// Openings that a target accepted later than the time after its drain began.
     int openingsAfterDrain(int target, Duration time) const;
 
-    /// Open flows of which three or more segments have reached other targets in 2 s, and none their own.
+    /// Open flows of which three or more segments have reached other targets, and none their own for 2 s.
     int misroutedFlows() const;
 
 private:
@@ -153,7 +153,6 @@
     struct Misrouting
     {
         TimePoint latestOwn{};
-        /// Copies of one segment count once.
         std::vector<TimePoint> strays;
 
         /// Whether they break the flow if the next segment of its own target arrives at @p end.
