Take openings during a planned stop if no other target is left

Cause: a stopping agent refused every opening. If the other targets of the service had left, drained or were in a data centre that is out, the opening had no candidate left and its caller was reset, although the target beside the stopping agent serves on and the next agent adopts its flows. Requests whose opening had just been accepted did not hold up the stop either.

Change: without another candidate a stopping agent takes the opening, also one that is queued. The stop waits, within its limit, for accepted openings that have not sent their request yet and for queued ones. Balancers prefer a closed target, whose agent still forwards or takes the opening, to one whose agent does not answer.

Result: PlannedStopTakesOpeningsWithoutAnotherTarget, PlannedStopServesOpeningsWithoutAnotherTarget and ClosedTargetsComeBeforeSilentOnes fail on the code before.

--- a/packages/stream/openingfence.cpp
+++ b/packages/stream/openingfence.cpp
@@ -62,7 +62,6 @@
     if (message.service != m_settings.service) {
         return OpeningRefusal::WrongService;
     }
-    const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
 
     // 2. Only the newer version of the routes counts, be it the balancer's or the local one.
     const RouteTablePointer &routes = m_directory.routes();
@@ -71,12 +70,9 @@
     }
 
     // 3. Conditions that keep new flows away from this target for a longer time.
-    const OpeningRefusal lasting = lastingRefusal(now);
+    const OpeningRefusal lasting = lastingRefusal(now, message);
     if (lasting != OpeningRefusal::None) {
-        const bool isLastResort = lasting == OpeningRefusal::Draining && message.candidates.empty();
-        if (!isLastResort || now >= *own->drainingSince + drainingGrace) {
-            return lasting;
-        }
+        return lasting;
     }
 
     // 4. Rate limit of a cold target, over all balancers.
@@ -89,9 +85,6 @@
 
 OpeningRefusal OpeningFence::lastingRefusal(TimePoint now) const
 {
-    if (m_isStopping) {
-        return OpeningRefusal::Stopping;
-    }
     if (m_hasTargetEnded) {
         return OpeningRefusal::TargetEnded;
     }
@@ -102,7 +95,24 @@
         return OpeningRefusal::DataCentreOut;
     }
     const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
-    return own != nullptr && own->target.isDraining ? OpeningRefusal::Draining : OpeningRefusal::None;
+    if (own != nullptr && own->target.isDraining) {
+        return OpeningRefusal::Draining;
+    }
+    return m_isStopping ? OpeningRefusal::Stopping : OpeningRefusal::None;
+}
+
+OpeningRefusal OpeningFence::lastingRefusal(TimePoint now, const StreamMessage &message) const
+{
+    const OpeningRefusal refusal = lastingRefusal(now);
+    if (!message.candidates.empty()) {
+        return refusal;
+    }
+    // The flow outlives the stop: the next agent of the target adopts it.
+    if (refusal == OpeningRefusal::Stopping) {
+        return OpeningRefusal::None;
+    }
+    const bool hasJustBegunToDrain = refusal == OpeningRefusal::Draining && now < *m_directory.findAt(m_settings.target)->drainingSince + drainingGrace;
+    return hasJustBegunToDrain ? OpeningRefusal::None : refusal;
 }
 
 }
--- a/packages/stream/openingfence.h
+++ b/packages/stream/openingfence.h
@@ -46,6 +46,10 @@
     /// Why every opening is currently refused, apart from the rate limit; None if openings are not refused in general.
     OpeningRefusal lastingRefusal(TimePoint now) const;
 
+    /// The same for one opening. If no other target is left for it, it is also taken during a planned stop, and for a short
+    /// time after the target has begun to drain.
+    OpeningRefusal lastingRefusal(TimePoint now, const StreamMessage &message) const;
+
     /// A planned stop has begun.
     void setStopping()
     {
--- a/packages/stream/placement.cpp
+++ b/packages/stream/placement.cpp
@@ -66,10 +66,12 @@
 
 std::vector<TargetId> Placement::order(TimePoint now, const TargetDirectory &directory, ServiceId service, const FlowKey &flow, std::size_t limit)
 {
-    // Targets that are closed or do not answer come last, since the state of them may be outdated.
+    // Targets that are closed or do not answer come last, since the state of them may be outdated. The agent of a closed
+    // target still forwards the opening, or takes it if no other target is left.
     enum Rank {
         Usable,
-        Suspect,
+        Closed,
+        Suspected,
     };
     struct Choice
     {
@@ -87,7 +89,9 @@
         }
         const State *state = stateOf(id);
         const bool isClosed = state != nullptr && state->load.isClosed && now < state->loadDeadline;
-        const Choice choice{isClosed || isSuspected(now, id) ? Suspect : Usable,
+        const Choice choice{isSuspected(now, id) ? Suspected
+                            : isClosed           ? Closed
+                                                 : Usable,
                             expectedSeconds(now, entry.target, baseline),
                             hashPair(flow.hash(), static_cast<quint64>(id)),
                             id};
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -198,7 +198,11 @@
 
 bool StreamAgent::isStopped(TimePoint now) const
 {
-    return m_stopDeadline && (m_watch.hasEnded() || (now >= m_stopMinimumDeadline && (m_meter.inProgress() == 0 || now >= *m_stopDeadline)));
+    if (!m_stopDeadline || m_watch.hasEnded()) {
+        return m_stopDeadline.has_value();
+    }
+    const bool hasWork = m_meter.inProgress() > 0 || m_awaitedRequestCount > 0 || m_queue.size() > 0;
+    return now >= m_stopMinimumDeadline && (!hasWork || now >= *m_stopDeadline);
 }
 
 TimePoint StreamAgent::nextDeadline() const
@@ -644,7 +648,7 @@
         const OpeningQueue::Entry entry = *m_queue.take(now);
         actions.emplace_back(RecordStreamTime{StreamTimer::Wait, now - entry.arrival});
         // The target may have begun to drain in the meantime.
-        const OpeningRefusal refusal = m_fence.lastingRefusal(now);
+        const OpeningRefusal refusal = m_fence.lastingRefusal(now, entry.message);
         if (refusal != OpeningRefusal::None) {
             forwardOpening(entry.message, entry.flow, refusalText(refusal), actions);
             continue;
--- a/tests/stream/openingfencetest.cpp
+++ b/tests/stream/openingfencetest.cpp
@@ -80,6 +80,21 @@
     EXPECT_EQ(admit(start + 1s, last), OpeningRefusal::Draining);
 }
 
+// Guards against callers that are refused while the agent of the only target that takes flows stops as planned.
+TEST_F(OpeningFenceTest, PlannedStopTakesOpeningsWithoutAnotherTarget)
+{
+    m_fence.setStopping();
+    EXPECT_EQ(admit(start), OpeningRefusal::Stopping);
+    StreamMessage last = opening();
+    last.candidates.clear();
+    EXPECT_EQ(admit(start, last), OpeningRefusal::None);
+    apply({DataCentreSwitched{111, QStringLiteral("dc1"), true}});
+    EXPECT_EQ(admit(start, last), OpeningRefusal::DataCentreOut);
+    apply({DataCentreSwitched{112, QStringLiteral("dc1"), false}});
+    m_fence.onTargetEnded();
+    EXPECT_EQ(admit(start, last), OpeningRefusal::TargetEnded);
+}
+
 // Guards against a flow on a route that newer routes have removed, and against the refusal of a new route that this
 // process does not have yet.
 TEST_F(OpeningFenceTest, NewerRoutesDecide)
--- a/tests/stream/placementtest.cpp
+++ b/tests/stream/placementtest.cpp
@@ -55,6 +55,19 @@
     EXPECT_EQ(ordered.front(), target(9).id);
 }
 
+// Guards against an opening that is offered to an agent that does not answer while another one, which is about to stop, would
+// take it or forward it.
+TEST_F(PlacementTest, ClosedTargetsComeBeforeSilentOnes)
+{
+    m_placement.onUnanswered(start, target(3).id);
+    m_placement.onLoad(start, target(6).id, load(0, 10'000, true));
+    m_placement.onUnanswered(start, target(9).id);
+    const std::vector<TargetId> ordered = order();
+    ASSERT_EQ(ordered.size(), 4);
+    EXPECT_EQ(ordered[0], target(1).id);
+    EXPECT_EQ(ordered[1], target(6).id);
+}
+
 // Guards against a stampede to one target: flows that this balancer has just offered count before the target reports
 // them.
 TEST_F(PlacementTest, OwnOffersCountAtOnce)
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -438,6 +438,22 @@
     EXPECT_TRUE(m_agent.isStopped(settled + 1s));
 }
 
+// Guards against a request that has just been accepted and is cut off by a planned stop, on a flow that no other target could
+// take.
+TEST_F(StreamAgentTest, PlannedStopServesOpeningsWithoutAnotherTarget)
+{
+    m_agent.beginStop(settled, m_ignored);
+    const StreamActions taken = receive(settled + 290ms, message(StreamMessageKind::Opening, callerSegment(SynFlag, 900)));
+    EXPECT_FALSE(resetsCaller(taken));
+    EXPECT_EQ(segments<SendToStreamTarget>(taken).size(), 1);
+    fromTarget(settled + 291ms, targetSegment(SynFlag | AckFlag));
+    EXPECT_FALSE(m_agent.isStopped(settled + 300ms)) << "the request of the caller is on its way";
+    receive(settled + 300ms, message(StreamMessageKind::Deliver, callerSegment(AckFlag, 901, 1001, 100)));
+    EXPECT_FALSE(m_agent.isStopped(settled + 310ms));
+    fromTarget(settled + 320ms, targetSegment(AckFlag, 1001, 500));
+    EXPECT_TRUE(m_agent.isStopped(settled + 320ms));
+}
+
 // Guards against openings that wait for ever behind requests that were answered long ago: a restarted agent sees a
 // retransmitted request whose answer has already passed, and the target only acknowledges it.
 TEST_F(StreamAgentTest, UnansweredRequestsDoNotFillTheTarget)
