Remember the services that a route has used before

A configuration that takes a service off a route leaves the flows at its targets open. A balancer that does not know such a flow has it looked up; the lookup asked only the targets of the services that the route uses now, took their denials for all, and reset the flow. An agent with an older configuration than the balancer's did the same for services that it had not read of yet.

Change: - RouteHistory keeps the services that a route has used within the lifetime of a flow; lookups, announcements of unlisted targets and agents without a record of their flows go by the history and the present routes. - A process that has started since asks its peers for their history (RouteHistoryQueries), and again after each version unless it watches the store, since it may have missed versions. The setting initial-start tells that there is nothing to ask for. - A process that does not know the history (all have failed at once) asks the agents of all services. Agents answer without handing the packet to a target whose service no known configuration allows; as long as one of them cannot tell, the caller is not reset. - No lookup ends in a reset before the agent has read the latest version that any message has shown.

Ruled out: asking the targets of all services in each lookup. Packets would reach targets of services that their route never used, and a lookup would cost more in the common case. With the history known, no probe is sent that was not sent before.

Processes of this version and of earlier ones do not understand each other's probes.

--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -74,16 +74,23 @@
 
 void FlowLookup::beginRound(TimePoint now, const FlowKey &flow, Lookup &lookup, StreamActions &actions)
 {
-    const Route &route = *m_directory.routes()->findRoute(flow.service);
+    // While the former services of the route are not known, the flow may be held by a target of any service.
+    const bool asksAllServices = !m_directory.routeHistory().isComplete(now);
     lookup.outstanding.clear();
     lookup.unlisted.clear();
+    lookup.uncertain.clear();
+    lookup.isOwnTargetUncertain = false;
     lookup.isDirectorySettled = m_directory.isSettled(now);
     lookup.roundDeadline = now + m_settings.lookupTimeout;
     lookup.unlistedDeadline = now + m_settings.unlistedTimeout;
     m_roundDeadlines.emplace_back(lookup.roundDeadline, flow);
     for (const auto &[id, entry] : m_directory.entries()) {
         const bool isOwn = entry.target.address == m_settings.target;
-        if (isOwn || !route.usesService(entry.target.service) || lookup.denied.contains(id)) {
+        if (isOwn || entry.agent.isNull() || lookup.denied.contains(id)) {
+            continue;
+        }
+        const bool isServiceAllowed = m_directory.mayHoldFlows(flow.service, entry.target.service);
+        if (!isServiceAllowed && !asksAllServices) {
             continue;
         }
         if (entry.isPresent()) {
@@ -92,13 +99,13 @@
             lookup.unlisted.insert(id);
         }
         // The agent of an address that has another target now denies the earlier one.
-        if (sendProbe(now, lookup, entry, actions)) {
+        if (sendProbe(now, lookup, entry, isServiceAllowed, actions)) {
             m_budget -= 1;
         }
     }
 }
 
-bool FlowLookup::sendProbe(TimePoint now, const Lookup &lookup, const TargetDirectory::Entry &entry, StreamActions &actions)
+bool FlowLookup::sendProbe(TimePoint now, const Lookup &lookup, const TargetDirectory::Entry &entry, bool isServiceAllowed, StreamActions &actions)
 {
     // The silence of an unlisted target ends the lookup, so that its agent is always asked.
     if (!entry.isPresent()) {
@@ -115,6 +122,7 @@
     probe.service = entry.target.service;
     probe.target = entry.target.id;
     probe.incarnation = entry.target.incarnation;
+    probe.isServiceAllowed = isServiceAllowed;
     probe.packet = lookup.message.packet;
     actions.emplace_back(SendStreamMessage{entry.agent, std::move(probe)});
     return true;
@@ -138,7 +146,11 @@
         return Outcome::Pending;
     }
     Lookup &lookup = found->second;
-    lookup.denied.insert(denial.target);
+    if (denial.isUncertain && !m_directory.routeHistory().isComplete(now)) {
+        lookup.uncertain.insert(denial.target);
+    } else {
+        lookup.denied.insert(denial.target);
+    }
     lookup.outstanding.erase(denial.target);
     lookup.unlisted.erase(denial.target);
     if (denial.knowsAllTargets) {
@@ -151,13 +163,14 @@
     return conclude(now, flow, lookup);
 }
 
-FlowLookup::Outcome FlowLookup::onNotHeldByOwnTarget(TimePoint now, const FlowKey &flow)
+FlowLookup::Outcome FlowLookup::onNotHeldByOwnTarget(TimePoint now, const FlowKey &flow, bool isUncertain)
 {
     const auto found = m_lookups.find(flow);
     if (found == m_lookups.end()) {
         return Outcome::Pending;
     }
-    found->second.isDeniedByOwnTarget = true;
+    found->second.isOwnTargetUncertain = isUncertain && !m_directory.routeHistory().isComplete(now);
+    found->second.isDeniedByOwnTarget = !found->second.isOwnTargetUncertain;
     return conclude(now, flow, found->second);
 }
 
@@ -167,8 +180,8 @@
         return Outcome::Pending;
     }
     if (!isConclusive(now, lookup)) {
-        const bool isDenied = lookup.outstanding.empty() && lookup.unlisted.empty() && lookup.isDeniedByOwnTarget;
-        return isDenied && !knowsAllTargets(now) && !lookup.informedAgent.isNull() ? Outcome::KnownElsewhere : Outcome::Pending;
+        const bool hasDenials = lookup.outstanding.empty() && lookup.unlisted.empty() && (lookup.isDeniedByOwnTarget || lookup.isOwnTargetUncertain);
+        return hasDenials && !knowsAllTargets(now) && !lookup.informedAgent.isNull() ? Outcome::KnownElsewhere : Outcome::Pending;
     }
     // A machine that is gone never answers, and its flows are lost; a live one answers before this deadline, unless its agent
     // is being restarted.
@@ -181,14 +194,22 @@
 
 bool FlowLookup::isConclusive(TimePoint now, const Lookup &lookup) const
 {
-    return lookup.outstanding.empty() && lookup.isDeniedByOwnTarget && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllTargets(now);
+    const bool isCertain = lookup.uncertain.empty() && lookup.isDeniedByOwnTarget;
+    return isCertain && lookup.outstanding.empty() && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllPresentTargets(now);
 }
 
 bool FlowLookup::knowsAllTargets(TimePoint now) const
+{
+    return m_directory.routeHistory().isComplete(now) && knowsAllPresentTargets(now);
+}
+
+bool FlowLookup::knowsAllPresentTargets(TimePoint now) const
 {
     // A complete read of the directory lacks the targets that live without an entry; their agents announce them to the
     // listed ones.
-    return m_directory.hasAllTargets(now) && m_directory.isListed(m_settings.target);
+    const RouteTablePointer &routes = m_directory.routes();
+    const bool hasLatestRoutes = routes != nullptr && routes->version() >= m_latestVersion;
+    return hasLatestRoutes && m_directory.hasAllTargets(now) && m_directory.isListed(m_settings.target);
 }
 
 bool FlowLookup::areUnlistedGone(TimePoint now, const Lookup &lookup) const
@@ -245,6 +266,7 @@
     const Lookup &lookup = m_lookups.at(flow);
     StreamMessage message = lookup.message;
     message.kind = StreamMessageKind::Locate;
+    message.configurationVersion = std::max(message.configurationVersion, m_latestVersion);
     ++message.hopCount;
     message.sender = m_settings.endpoint;
     message.candidates.clear();
@@ -258,7 +280,12 @@
         return QStringLiteral("denied=0");
     }
     const auto listAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_directory.completionTime().value_or(now));
-    return QStringLiteral("denied=%1 unlisted-gone=%2 list-age-ms=%3").arg(found->second.denied.size()).arg(found->second.unlisted.size()).arg(listAge.count());
+    const auto followed = std::chrono::duration_cast<std::chrono::milliseconds>(m_directory.routeHistory().followedFor(now));
+    return QStringLiteral("denied=%1 unlisted-gone=%2 list-age-ms=%3 routes-followed-ms=%4")
+        .arg(found->second.denied.size())
+        .arg(found->second.unlisted.size())
+        .arg(listAge.count())
+        .arg(followed.count());
 }
 
 void FlowLookup::end(const FlowKey &flow)
@@ -282,8 +309,12 @@
                 silent.append(entry != nullptr ? entry->target.name : QStringLiteral("?"));
             }
         }
-        const QString reason =
-            silent.isEmpty() ? QStringLiteral("reason=directory-unsettled") : QStringLiteral("reason=no-answer targets=") + silent.join(QLatin1Char(','));
+        QString reason = QStringLiteral("reason=directory-unsettled");
+        if (!silent.isEmpty()) {
+            reason = QStringLiteral("reason=no-answer targets=") + silent.join(QLatin1Char(','));
+        } else if (found->second.isOwnTargetUncertain || !found->second.uncertain.empty()) {
+            reason = QStringLiteral("reason=former-services-unknown uncertain=%1").arg(found->second.uncertain.size());
+        }
         actions.emplace_back(RecordStreamEvent{EventNumber::FlowSearchFailed, flow, reason});
     }
     while (!m_retentionChecks.empty() && now >= m_retentionChecks.front().first) {
--- a/packages/stream/flowlookup.h
+++ b/packages/stream/flowlookup.h
@@ -6,6 +6,7 @@
 #include "stream/streamagentsettings.h"
 #include "stream/targetdirectory.h"
 
+#include <algorithm>
 #include <deque>
 #include <optional>
 #include <set>
@@ -57,13 +58,21 @@
     /// Processes the denial of a target.
     Outcome onNotHeld(TimePoint now, const StreamMessage &denial);
 
-    /// Processes the denial of the local target.
-    Outcome onNotHeldByOwnTarget(TimePoint now, const FlowKey &flow);
+    /// Processes the denial of the local target. @p isUncertain: it has not been asked, since no configuration is known that
+    /// lets the flow use its service.
+    Outcome onNotHeldByOwnTarget(TimePoint now, const FlowKey &flow, bool isUncertain = false);
 
     /// Processes any message of the agent: rounds that have left it out are repeated.
     void onAgentMessage(TimePoint now, const Endpoint &agent);
 
-    /// Whether this process knows all targets that may hold flows, including those that live without an entry.
+    /// A message shows that a version of the configuration exists; no lookup ends in a reset before this process has read it.
+    void recordVersion(quint64 version)
+    {
+        m_latestVersion = std::max(m_latestVersion, version);
+    }
+
+    /// Whether this process knows all targets that may hold flows, including those that live without an entry and those of
+    /// services that routes have used before.
     bool knowsAllTargets(TimePoint now) const;
 
     /// The latest packet of a flow that is looked up; empty if there is no lookup.
@@ -107,6 +116,11 @@
         /// source of the directory.
         std::set<TargetId> unlisted;
         TimePoint unlistedDeadline{};
+        /// Targets that have not been asked by their agents. They may hold the flow as long as the former services of its
+        /// route are not known.
+        std::set<TargetId> uncertain;
+        /// The same for the local target.
+        bool isOwnTargetUncertain = false;
         /// Targets that do not hold the flow, and never will.
         std::set<TargetId> denied;
         bool isDeniedByOwnTarget = false;
@@ -120,8 +134,9 @@
 
     void enqueue(const FlowKey &flow, Lookup &lookup);
     void beginRound(TimePoint now, const FlowKey &flow, Lookup &lookup, StreamActions &actions);
-    bool sendProbe(TimePoint now, const Lookup &lookup, const TargetDirectory::Entry &entry, StreamActions &actions);
+    bool sendProbe(TimePoint now, const Lookup &lookup, const TargetDirectory::Entry &entry, bool isServiceAllowed, StreamActions &actions);
     bool hasBudget(TimePoint now);
+    bool knowsAllPresentTargets(TimePoint now) const;
     bool isConclusive(TimePoint now, const Lookup &lookup) const;
     bool areUnlistedGone(TimePoint now, const Lookup &lookup) const;
     Outcome conclude(TimePoint now, const FlowKey &flow, const Lookup &lookup);
@@ -130,6 +145,7 @@
     const TargetDirectory &m_directory;
     SilentAgents m_silentAgents;
     std::unordered_map<FlowKey, Lookup> m_lookups;
+    quint64 m_latestVersion = 0;
     /// Flows whose rounds wait for their turn.
     std::deque<FlowKey> m_waiting;
     std::deque<std::pair<TimePoint, FlowKey>> m_roundDeadlines;
--- /dev/null
+++ b/packages/stream/routehistory.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "stream/formerservicereport.h"
+#include "stream/routehistorysettings.h"
+#include "stream/routetable.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace Rattanpick
+{
+
+/// The services that routes have used in earlier versions of the configuration.
+///
+/// A new version leaves open flows where they are, so that a flow may be held by a target of a service that its route no
+/// longer uses. A process learns of the versions from before its start from its peers.
+class RouteHistory
+{
+public:
+    /// Builds an empty history.
+    explicit RouteHistory(const RouteHistorySettings &settings);
+
+    /// A version of the configuration comes into force; @p previous is null for the first one.
+    void onRoutes(TimePoint now, const RouteTable *previous, const RouteTable &next);
+
+    /// Takes over former services that a peer knows.
+    void merge(TimePoint now, const std::vector<FormerServiceReport> &reports);
+
+    /// All former services of a peer have been taken over. It has followed the configuration since the time, up to a version
+    /// that is not older than that of this process.
+    void onMerged(TimePoint followedSince);
+
+    /// This process may have missed versions before the present one; waits for a peer that has seen them, until the deadline.
+    void awaitPeer(TimePoint deadline)
+    {
+        m_peerDeadline = deadline;
+    }
+
+    /// Whether versions may be missing that a peer has seen.
+    bool isAwaitingPeer(TimePoint now) const
+    {
+        return now < m_peerDeadline;
+    }
+
+    /// Removes services whose flows have ended.
+    void onTick(TimePoint now);
+
+    /// Whether the route has used the service, and the service may hold flows of it.
+    bool contains(const Endpoint &route, ServiceId service) const;
+
+    /// Whether a route that has used the first service has also used the second one, or uses it in the routes.
+    bool shareRoute(ServiceId first, ServiceId second, const RouteTable &routes) const;
+
+    /// All former services.
+    std::vector<FormerServiceReport> reports(TimePoint now) const;
+
+    /// How long the configuration has been followed, by this process or by peers; zero before the first version.
+    Duration followedFor(TimePoint now) const;
+
+    /// Whether every service that may hold flows of a route is known.
+    bool isComplete(TimePoint now) const;
+
+    /// When a service is to be removed.
+    TimePoint nextDeadline() const;
+
+private:
+    void add(const Endpoint &route, ServiceId service, TimePoint deadline);
+
+    RouteHistorySettings m_settings;
+    /// Deadlines by route and service.
+    std::map<std::pair<Endpoint, ServiceId>, TimePoint> m_deadlines;
+    /// Since when the configuration has been followed.
+    std::optional<TimePoint> m_followedSince;
+    TimePoint m_peerDeadline{};
+};
+
+}
--- /dev/null
+++ b/packages/stream/routehistoryqueries.cpp
@@ -0,0 +1,93 @@
+#include "stream/routehistoryqueries.h"
+
+#include "stream/directoryreaders.h"
+#include "stream/streammessagecodec.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace Rattanpick
+{
+
+RouteHistoryQueries::RouteHistoryQueries(const StreamAgentSettings &settings, TargetDirectory &directory)
+    : m_settings(settings)
+    , m_directory(directory)
+{
+}
+
+void RouteHistoryQueries::onRoutes(TimePoint now, bool isReader)
+{
+    const RouteTablePointer &routes = m_directory.routes();
+    if (routes == nullptr || !m_directory.isComplete() || m_version == routes->version()) {
+        return;
+    }
+    const bool isFirst = !m_version;
+    m_version = routes->version();
+    RouteHistory &history = m_directory.routeHistory();
+    if (history.isComplete(now) && (isFirst || isReader)) {
+        return;
+    }
+    if (!isFirst) {
+        history.awaitPeer(now + m_settings.historyQueryInterval * m_settings.historyQueryAttempts);
+    }
+    m_attemptsLeft = m_settings.historyQueryAttempts;
+    m_deadline = now;
+}
+
+std::optional<Endpoint> RouteHistoryQueries::takeReceiver(TimePoint now)
+{
+    if (now < nextDeadline()) {
+        return std::nullopt;
+    }
+    --m_attemptsLeft;
+    m_deadline = now + m_settings.historyQueryInterval;
+    m_parts.clear();
+    // The attempts go to the readers of the data centre in turn, and to one other agent.
+    std::vector<Endpoint> peers = DirectoryReaders::peersToQuery(m_directory, m_settings.dataCentre, m_settings.endpoint.address + *m_version);
+    std::erase(peers, m_settings.endpoint);
+    if (peers.empty()) {
+        return std::nullopt;
+    }
+    return peers.at((m_settings.endpoint.address + static_cast<quint64>(m_attemptsLeft)) % peers.size());
+}
+
+void RouteHistoryQueries::onAnswer(TimePoint now, const StreamMessage &answer)
+{
+    if (!m_version) {
+        return;
+    }
+    RouteHistory &history = m_directory.routeHistory();
+    history.merge(now, answer.formerServices);
+    // What an earlier version allows may have become former since.
+    if (answer.configurationVersion < *m_version || ++m_parts[answer.sender] < answer.partCount) {
+        return;
+    }
+    history.onMerged(now - std::chrono::milliseconds(answer.followedMilliseconds));
+    if (history.isComplete(now)) {
+        m_attemptsLeft = 0;
+    }
+}
+
+std::vector<StreamMessage> RouteHistoryQueries::answer(TimePoint now, const RouteHistory &history)
+{
+    if (history.isAwaitingPeer(now)) {
+        return {};
+    }
+    const std::vector<FormerServiceReport> reports = history.reports(now);
+    const auto followed = std::chrono::duration_cast<std::chrono::milliseconds>(history.followedFor(now)).count();
+    std::vector<StreamMessage> parts;
+    const std::size_t count = std::max<std::size_t>(1, (reports.size() + maximumFormerServices - 1) / maximumFormerServices);
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto begin = reports.begin() + static_cast<std::ptrdiff_t>(index * maximumFormerServices);
+        const auto end = reports.begin() + static_cast<std::ptrdiff_t>(std::min(reports.size(), (index + 1) * maximumFormerServices));
+        StreamMessage part;
+        part.kind = StreamMessageKind::RouteHistory;
+        part.formerServices.assign(begin, end);
+        part.partCount = static_cast<quint16>(count);
+        part.followedMilliseconds = static_cast<quint32>(std::min<qint64>(followed, std::numeric_limits<quint32>::max()));
+        parts.push_back(std::move(part));
+    }
+    return parts;
+}
+
+}
--- /dev/null
+++ b/packages/stream/routehistoryqueries.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "stream/streamagentsettings.h"
+#include "stream/streammessage.h"
+#include "stream/targetdirectory.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace Rattanpick
+{
+
+/// Decides when an agent asks which peer for the former services of the routes.
+///
+/// An agent does not see the versions from before its start, nor those that were replaced before it read them.
+class RouteHistoryQueries
+{
+public:
+    /// Builds an object without a query; both references must outlive it.
+    RouteHistoryQueries(const StreamAgentSettings &settings, TargetDirectory &directory);
+
+    /// The routes or a full read of the directory have been applied. @p isReader: this process watches the source, which shows
+    /// every version.
+    void onRoutes(TimePoint now, bool isReader);
+
+    /// The peer to query now, if a query is due.
+    std::optional<Endpoint> takeReceiver(TimePoint now);
+
+    /// Takes over the part of an answer.
+    void onAnswer(TimePoint now, const StreamMessage &answer);
+
+    /// The messages of an answer of this process, apart from the members that all messages share; empty if it may have missed
+    /// versions itself.
+    static std::vector<StreamMessage> answer(TimePoint now, const RouteHistory &history);
+
+    /// When the next query is due.
+    TimePoint nextDeadline() const
+    {
+        return m_attemptsLeft > 0 ? m_deadline : TimePoint::max();
+    }
+
+private:
+    const StreamAgentSettings &m_settings;
+    TargetDirectory &m_directory;
+    std::optional<quint64> m_version;
+    int m_attemptsLeft = 0;
+    TimePoint m_deadline{};
+    /// Parts that each peer has sent since it was queried.
+    std::unordered_map<Endpoint, quint16> m_parts;
+};
+
+}
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -3,6 +3,7 @@
 #include "core/assertion.h"
 
 #include "stream/directoryreaders.h"
+#include "stream/openingredirection.h"
 
 #include <algorithm>
 #include <set>
@@ -42,6 +43,7 @@
     , m_retention(settings.retention, m_directory)
     , m_watch(m_settings, m_meter)
     , m_announcer(m_settings, m_directory)
+    , m_historyQueries(m_settings, m_directory)
     , m_loadDeadline(now + settings.loadInterval)
 {
     // As after a pause, nothing is known yet of drains, of data centres that are out and of cold targets.
@@ -66,6 +68,9 @@
         m_meter.setSlotCount(m_slotCount);
     }
     m_announcer.onDirectoryChange(now);
+    if (m_directory.isComplete() && (std::holds_alternative<RoutesPublished>(change) || std::holds_alternative<FullReadCompleted>(change))) {
+        m_historyQueries.onRoutes(now, isReader());
+    }
 }
 
 void StreamAgent::onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions)
@@ -79,6 +84,7 @@
         &StreamAgent::onProbe,
     };
     m_lookup.onAgentMessage(now, message.sender);
+    m_lookup.recordVersion(message.configurationVersion);
     const auto kind = static_cast<std::size_t>(message.kind);
     if (kind < handlers.size()) {
         const std::optional<Segment> segment = m_format.decode(message.packet);
@@ -95,6 +101,10 @@
         finishLookup(now, message.flow, m_lookup.onNotHeld(now, message), actions);
     } else if (message.kind == StreamMessageKind::UnlistedTarget) {
         m_directory.recordUnlisted(now, message.targetAddress, message.service);
+    } else if (message.kind == StreamMessageKind::RouteHistoryQuery) {
+        answerHistoryQuery(now, message.sender, actions);
+    } else if (message.kind == StreamMessageKind::RouteHistory) {
+        m_historyQueries.onAnswer(now, message);
     } else if (message.kind == StreamMessageKind::Ping) {
         m_subscribers[message.sender] = now + subscriptionTimeout;
         actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::Load, {})});
@@ -159,6 +169,9 @@
         actions.emplace_back(ProbeStreamTarget{});
     }
     announceTarget(now, actions);
+    if (const std::optional<Endpoint> peer = m_historyQueries.takeReceiver(now)) {
+        actions.emplace_back(SendStreamMessage{*peer, answer(now, StreamMessageKind::RouteHistoryQuery, {})});
+    }
     releaseQueued(now, actions);
     removeExpired(now);
     if (now < m_loadDeadline) {
@@ -207,7 +220,7 @@
 
 TimePoint StreamAgent::nextDeadline() const
 {
-    TimePoint next = std::min({m_directory.nextDeadline(), m_loadDeadline, m_lookup.nextDeadline(), m_announcer.nextDeadline()});
+    TimePoint next = std::min({m_directory.nextDeadline(), m_loadDeadline, m_lookup.nextDeadline(), m_announcer.nextDeadline(), m_historyQueries.nextDeadline()});
     if (m_queue.size() > 0) {
         next = std::min(next, m_queue.nextDeadline());
         next = std::min(next, m_requestDeadlines.empty() ? TimePoint::max() : m_requestDeadlines.front().first);
@@ -305,6 +318,10 @@
         // The caller's next copy arrives after the read; nobody else can take the flow.
         return;
     }
+    if (refusal == OpeningRefusal::NoRoute) {
+        redirectOpening(message, key, actions);
+        return;
+    }
     if (refusal != OpeningRefusal::None) {
         forwardOpening(message, key, refusalText(refusal), actions);
         return;
@@ -355,6 +372,11 @@
         denyProbe(now, key, message, actions);
         return;
     }
+    if (!message.isServiceAllowed && !m_directory.mayHoldFlows(key.service, m_settings.service)) {
+        // The target must get no packet that is meant for another service.
+        denyProbe(now, key, message, actions, true);
+        return;
+    }
     deliverUnconfirmed(now, key, message, segment, actions).lookupAgent = message.sender;
 }
 
@@ -455,6 +477,17 @@
     }
 }
 
+void StreamAgent::answerHistoryQuery(TimePoint now, const Endpoint &peer, StreamActions &actions)
+{
+    for (const StreamMessage &part : RouteHistoryQueries::answer(now, m_directory.routeHistory())) {
+        StreamMessage message = answer(now, StreamMessageKind::RouteHistory, {});
+        message.formerServices = part.formerServices;
+        message.partCount = part.partCount;
+        message.followedMilliseconds = part.followedMilliseconds;
+        actions.emplace_back(SendStreamMessage{peer, std::move(message)});
+    }
+}
+
 void StreamAgent::announceTarget(TimePoint now, StreamActions &actions)
 {
     const std::vector<Endpoint> receivers = m_announcer.takeReceivers(now);
@@ -757,6 +790,15 @@
     actions.emplace_back(RecordStreamEvent{EventNumber::FlowRefused, key, QStringLiteral("reason=%1 hop=%2").arg(reason).arg(message.hopCount)});
 }
 
+void StreamAgent::redirectOpening(const StreamMessage &message, const FlowKey &key, StreamActions &actions)
+{
+    // The candidates come from the same outdated configuration as the choice of this target.
+    StreamMessage redirected = message;
+    redirected.configurationVersion = m_directory.routes()->version();
+    redirected.candidates = OpeningRedirection::candidates(m_directory, m_settings.dataCentre, key, m_settings.redirectionLimit);
+    forwardOpening(redirected, key, refusalText(OpeningRefusal::NoRoute), actions);
+}
+
 void StreamAgent::deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions)
 {
     trackCallerSegment(now, flow, message, segment);
@@ -810,9 +852,10 @@
     startLookup(now, key, message, actions);
 }
 
-void StreamAgent::denyProbe(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions) const
+void StreamAgent::denyProbe(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions, bool isUncertain) const
 {
     StreamMessage denial = answer(now, StreamMessageKind::NotHeld, key);
+    denial.isUncertain = isUncertain;
     // The agent that runs the lookup may have this target under an earlier name.
     denial.target = message.target;
     denial.incarnation = message.incarnation;
@@ -833,12 +876,12 @@
 void StreamAgent::runLookups(TimePoint now, StreamActions &actions)
 {
     while (const std::optional<FlowLookup::Round> round = m_lookup.takeRound(now, actions)) {
-        const bool isOwnTargetAsked =
-            round->isOwnTargetAsked && round->message.service == m_settings.service && !m_retention.isComplete(now) && findConfirmed(round->flow) == nullptr;
-        if (isOwnTargetAsked) {
+        const bool mayOwnTargetHold = round->isOwnTargetAsked && !m_retention.isComplete(now) && findConfirmed(round->flow) == nullptr;
+        const bool isServiceAllowed = m_directory.mayHoldFlows(round->flow.service, m_settings.service);
+        if (mayOwnTargetHold && isServiceAllowed) {
             deliverUnconfirmed(now, round->flow, round->message, *m_format.decode(round->message.packet), actions);
         } else {
-            finishLookup(now, round->flow, m_lookup.onNotHeldByOwnTarget(now, round->flow), actions);
+            finishLookup(now, round->flow, m_lookup.onNotHeldByOwnTarget(now, round->flow, mayOwnTargetHold && !isServiceAllowed), actions);
         }
     }
 }
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -11,6 +11,7 @@
 #include "stream/streamaction.h"
 #include "stream/streamagentsettings.h"
 #include "stream/streamdecisions.h"
+#include "stream/routehistoryqueries.h"
 #include "stream/targetannouncer.h"
 #include "stream/targetdirectory.h"
 #include "stream/targetwatch.h"
@@ -93,6 +94,7 @@
     void reportLoad(TimePoint now, StreamActions &actions);
     /// Announces the local target while the directory does not list it.
     void announceTarget(TimePoint now, StreamActions &actions);
+    void answerHistoryQuery(TimePoint now, const Endpoint &peer, StreamActions &actions);
 
     // Packets of the target
     void onBounced(TimePoint now, const Segment &segment, StreamActions &actions);
@@ -119,13 +121,15 @@
     const TargetDirectory::Entry *findOther(TargetId target) const;
     /// Addresses the message to its next candidate that has an entry; null if none is left.
     const TargetDirectory::Entry *popCandidate(StreamMessage &message, CandidateOrder order) const;
+    void redirectOpening(const StreamMessage &message, const FlowKey &key, StreamActions &actions);
     void forwardOpening(const StreamMessage &message, const FlowKey &key, const QString &reason, StreamActions &actions);
     void deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions);
     HeldFlow &deliverUnconfirmed(TimePoint now, const FlowKey &key, const StreamMessage &message, const Segment &segment, StreamActions &actions);
     /// Sends a packet that the target returns if it does not hold the flow.
     void sendToTarget(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, StreamActions &actions);
     void denyFlow(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
-    void denyProbe(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions) const;
+    /// @p isUncertain: the target has not been asked.
+    void denyProbe(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions, bool isUncertain = false) const;
     void startLookup(TimePoint now, const FlowKey &key, const StreamMessage &message, StreamActions &actions);
     /// Begins the rounds of lookups that are due.
     void runLookups(TimePoint now, StreamActions &actions);
@@ -153,6 +157,7 @@
     LoadMeter m_meter;
     TargetWatch m_watch;
     TargetAnnouncer m_announcer;
+    RouteHistoryQueries m_historyQueries;
     OpeningQueue m_queue;
     /// Flows whose first request is expected, ordered by the time until which it is.
     std::deque<std::pair<TimePoint, FlowKey>> m_requestDeadlines;
--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -36,6 +36,8 @@
     /// Agents without a free slot that forward an opening; the loads that balancers have are up to a second old. After
     /// that the opening is queued at the first agent. 0 disables service hunting.
     quint8 busyHops = 3;
+    /// Candidates of an opening that is redirected because the configuration of its balancer is outdated.
+    std::size_t redirectionLimit = 4;
     /// How long a caller may take from the answer to its opening until its request; two round trips.
     Duration requestDelay = 25ms;
     /// A request counts as in progress for at most this many service times, but for the minimum time at least. After a
@@ -79,6 +81,10 @@
     /// After a denial by an agent that lacks entries which may return, time until the own directory contains those that
     /// have returned. Above the age at which a directory counts as outdated.
     Duration unsettledTime = 2500ms;
+    /// Queries for the former services of the routes after a new version of the configuration, and their interval. Together
+    /// above the time that peers take to read the version.
+    int historyQueryAttempts = 8;
+    Duration historyQueryInterval = 250ms;
     SilentAgentsSettings silentAgents;
     FlowRetentionSettings retention;
     /// Maximum number of agents that may forward a packet.
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -416,14 +416,15 @@
     if (route == nullptr) {
         return;
     }
-    // All packets of a flow go to the same agent as long as it answers, so that a single lookup serves them.
+    // All packets of a flow go to the same agent as long as it answers, so that a single lookup serves them. An agent of
+    // another service runs it if there is no other one: a service that the route used before may hold the flow.
     const TargetDirectory::Entry *best = nullptr;
-    std::pair<bool, quint64> bestRank;
+    std::tuple<bool, bool, quint64> bestRank;
     for (const auto &[id, entry] : m_directory.entries()) {
-        if (!entry.isPresent() || !route->usesService(entry.target.service)) {
+        if (!entry.isPresent()) {
             continue;
         }
-        const std::pair rank(!m_placement.isSuspected(now, id), hashPair(key.hash(), static_cast<quint64>(id)));
+        const std::tuple rank(!m_placement.isSuspected(now, id), route->usesService(entry.target.service), hashPair(key.hash(), static_cast<quint64>(id)));
         if (best == nullptr || rank > bestRank) {
             best = &entry;
             bestRank = rank;
--- a/packages/stream/streammessage.h
+++ b/packages/stream/streammessage.h
@@ -3,6 +3,7 @@
 #include "core/endpoint.h"
 #include "core/flowkey.h"
 #include "core/identifiers.h"
+#include "stream/formerservicereport.h"
 #include "stream/loadreport.h"
 
 #include <QByteArray>
@@ -40,6 +41,10 @@
     Waiting = 11,
     /// The target of the sender is not listed, and may hold flows.
     UnlistedTarget = 12,
+    /// Requests the former services of the routes.
+    RouteHistoryQuery = 13,
+    /// Former services of the routes; the answer to a query has one message or more.
+    RouteHistory = 14,
 };
 
 /// A message between a balancer and the agents, or between two agents. Members that a kind does not use stay empty.
@@ -72,8 +77,19 @@
     /// NotHeld: the sender has targets whose entries are missing and may return. One of them may hold the flow, and a
     /// process that has started since has no record of it.
     bool isUnsettled = false;
-    /// NotHeld: the sender knows all targets, listed or not, so that its own lookup of the flow could end in a reset.
+    /// NotHeld: the sender knows all targets that may hold the flow, so that its own lookup of it could end in a reset.
     bool knowsAllTargets = false;
+    /// NotHeld: the target has not been asked, since the sender knows no configuration that lets the flow use its service. The
+    /// target may hold the flow.
+    bool isUncertain = false;
+    /// Probe: the sender knows a configuration that lets the flow use the service of the target.
+    bool isServiceAllowed = false;
+    /// RouteHistory: at most maximumFormerServices of them.
+    std::vector<FormerServiceReport> formerServices;
+    /// RouteHistory: number of messages of the answer.
+    quint16 partCount = 0;
+    /// RouteHistory: for how long the sender has followed the configuration, in milliseconds.
+    quint32 followedMilliseconds = 0;
     /// UnlistedTarget: where the target receives segments.
     Endpoint targetAddress;
     /// The whole packet of the caller; for kinds that carry a segment.
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -41,6 +41,26 @@
     readWireBool(stream, load.isClosed);
 }
 
+void writeHistory(QDataStream &stream, const StreamMessage &message)
+{
+    stream << message.partCount << message.followedMilliseconds << static_cast<quint8>(message.formerServices.size());
+    for (const FormerServiceReport &report : message.formerServices) {
+        stream << report.route << report.service << report.remainingMilliseconds;
+    }
+}
+
+void readHistory(QDataStream &stream, StreamMessage &message)
+{
+    quint8 count = 0;
+    stream >> message.partCount >> message.followedMilliseconds >> count;
+    requireWire(stream, count <= maximumFormerServices);
+    for (quint8 index = 0; index < count && stream.status() == QDataStream::Ok; ++index) {
+        FormerServiceReport report;
+        stream >> report.route >> report.service >> report.remainingMilliseconds;
+        message.formerServices.push_back(report);
+    }
+}
+
 void readCandidates(QDataStream &stream, std::vector<TargetId> &candidates)
 {
     quint8 count = 0;
@@ -58,6 +78,7 @@
 QByteArray encodeStreamMessage(const StreamMessage &message)
 {
     RP_ASSERT(message.candidates.size() <= maximumCandidates);
+    RP_ASSERT(message.formerServices.size() <= maximumFormerServices);
     QByteArray datagram;
     datagram.reserve(expectedSize);
     QDataStream stream(&datagram, QIODevice::WriteOnly);
@@ -68,7 +89,7 @@
         stream << message.flow;
     }
     if (message.kind == StreamMessageKind::NotHeld) {
-        stream << quint8{message.isUnsettled} << quint8{message.knowsAllTargets};
+        stream << quint8{message.isUnsettled} << quint8{message.knowsAllTargets} << quint8{message.isUncertain};
     }
     if (carriesLoad(message.kind)) {
         stream << message.load;
@@ -76,6 +97,12 @@
     if (message.kind == StreamMessageKind::UnlistedTarget) {
         stream << message.targetAddress;
     }
+    if (message.kind == StreamMessageKind::RouteHistory) {
+        writeHistory(stream, message);
+    }
+    if (message.kind == StreamMessageKind::Probe) {
+        stream << quint8{message.isServiceAllowed};
+    }
     if (carriesSegment(message.kind)) {
         stream << static_cast<quint8>(message.candidates.size());
         for (const TargetId candidate : message.candidates) {
@@ -95,13 +122,14 @@
     StreamMessage message;
     stream >> receivedMagic >> message.kind >> message.hopCount >> message.configurationVersion >> message.directoryRevision >> message.verifiedMilliseconds
         >> message.lamport >> message.sender >> message.balancer >> message.service >> message.target >> message.incarnation;
-    requireWire(stream, receivedMagic == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::UnlistedTarget);
+    requireWire(stream, receivedMagic == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::RouteHistory);
     if (namesFlow(message.kind)) {
         stream >> message.flow;
     }
     if (message.kind == StreamMessageKind::NotHeld) {
         readWireBool(stream, message.isUnsettled);
         readWireBool(stream, message.knowsAllTargets);
+        readWireBool(stream, message.isUncertain);
     }
     if (carriesLoad(message.kind)) {
         readLoad(stream, message.load);
@@ -109,6 +137,12 @@
     if (message.kind == StreamMessageKind::UnlistedTarget) {
         stream >> message.targetAddress;
     }
+    if (message.kind == StreamMessageKind::RouteHistory) {
+        readHistory(stream, message);
+    }
+    if (message.kind == StreamMessageKind::Probe) {
+        readWireBool(stream, message.isServiceAllowed);
+    }
     if (carriesSegment(message.kind)) {
         readCandidates(stream, message.candidates);
         message.packet = QByteArray(datagram.data() + stream.device()->pos(), datagram.size() - stream.device()->pos());
--- a/packages/stream/streamprocesssettings.h
+++ b/packages/stream/streamprocesssettings.h
@@ -47,6 +47,8 @@
     Duration stopGrace = 6s;
     /// Flows older than this may be removed.
     Duration maximumFlowAge = 60s;
+    /// The whole fleet starts for the first time, so that there are no flows yet.
+    bool isInitialStart = false;
 
     // Agent
 
--- a/packages/stream/streamprocesssettingsreader.cpp
+++ b/packages/stream/streamprocesssettingsreader.cpp
@@ -24,6 +24,7 @@
     settings.role = static_cast<DaemonRole>(values.choice(QStringLiteral("role"), {QStringLiteral("balancer"), QStringLiteral("agent")}));
     settings.dataCentre = values.requiredName(QStringLiteral("data-centre"));
     settings.logLevel = static_cast<EventLevel>(values.choice(QStringLiteral("log-level"), levels, infoIndex));
+    settings.isInitialStart = values.choice(QStringLiteral("initial-start"), {QStringLiteral("false"), QStringLiteral("true")}, 0) == 1;
     settings.stopGrace = std::chrono::seconds(values.number(QStringLiteral("stop-grace-seconds"), 1, maximumGraceSeconds));
 }
 
--- a/packages/stream/targetannouncer.cpp
+++ b/packages/stream/targetannouncer.cpp
@@ -28,12 +28,12 @@
     m_deadline = now + m_settings.announcementInterval;
     // Only agents whose targets may serve the same flows look them up. An agent without an entry may serve as well.
     std::set<Endpoint> receivers;
-    const RouteTablePointer &routes = m_directory.routes();
     for (const auto &[id, entry] : m_directory.entries()) {
         if (entry.agent == m_settings.endpoint || entry.agent.isNull()) {
             continue;
         }
-        if (routes == nullptr || routes->shareRoute(entry.target.service, m_settings.service)) {
+        const bool mayShareFlows = !m_directory.routeHistory().isComplete(now) || m_directory.mayShareFlows(entry.target.service, m_settings.service);
+        if (mayShareFlows) {
             receivers.insert(entry.agent);
         }
     }
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -18,6 +18,7 @@
 
 TargetDirectory::TargetDirectory(const TargetDirectorySettings &settings)
     : m_settings(settings)
+    , m_routeHistory(settings.routeHistory)
 {
 }
 
@@ -58,6 +59,7 @@
 void TargetDirectory::onTick(TimePoint now)
 {
     m_firstUsedAt = m_firstUsedAt.value_or(now);
+    m_routeHistory.onTick(now);
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         if (now < entry->second.listingDeadline) {
             ++entry;
@@ -131,10 +133,15 @@
     ++m_generation;
 }
 
-void TargetDirectory::applyChange(TimePoint /*now*/, const RoutesPublished &change)
+void TargetDirectory::applyChange(TimePoint now, const RoutesPublished &change)
 {
     // The version never decreases within the lifetime of a process, even if an outdated read arrives.
+    if (m_routes != nullptr && change.routes->version() < m_routes->version()) {
+        m_routeHistory.onRoutes(now, change.routes.get(), *m_routes);
+        return;
+    }
     if (m_routes == nullptr || change.routes->version() > m_routes->version()) {
+        m_routeHistory.onRoutes(now, m_routes.get(), *change.routes);
         m_routes = change.routes;
         ++m_generation;
         for (auto &[id, entry] : m_entries) {
@@ -227,6 +234,18 @@
     }
 }
 
+// Routes
+
+bool TargetDirectory::mayHoldFlows(const Endpoint &address, ServiceId service) const
+{
+    return m_routes != nullptr && (m_routes->allows(address, service) || m_routeHistory.contains(address, service));
+}
+
+bool TargetDirectory::mayShareFlows(ServiceId first, ServiceId second) const
+{
+    return m_routes == nullptr || m_routes->shareRoute(first, second) || m_routeHistory.shareRoute(first, second, *m_routes);
+}
+
 // Targets
 
 const TargetDirectory::Entry *TargetDirectory::find(TargetId id) const
@@ -261,7 +280,7 @@
 
 TimePoint TargetDirectory::nextDeadline() const
 {
-    TimePoint next = TimePoint::max();
+    TimePoint next = m_routeHistory.nextDeadline();
     for (const auto &[id, entry] : m_entries) {
         next = std::min(next, entry.listingDeadline);
     }
--- a/packages/stream/targetdirectory.h
+++ b/packages/stream/targetdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "stream/directorychange.h"
+#include "stream/routehistory.h"
 #include "stream/targetdirectorysettings.h"
 
 #include <QHash>
@@ -114,6 +115,24 @@
         return m_routes;
     }
 
+    /// The services that the routes have used before.
+    RouteHistory &routeHistory()
+    {
+        return m_routeHistory;
+    }
+
+    /// The services that the routes have used before.
+    const RouteHistory &routeHistory() const
+    {
+        return m_routeHistory;
+    }
+
+    /// Whether targets of the service may hold flows to the address: its route uses the service, or has used it before.
+    bool mayHoldFlows(const Endpoint &address, ServiceId service) const;
+
+    /// Whether targets of both services may hold flows to the same address.
+    bool mayShareFlows(ServiceId first, ServiceId second) const;
+
     /// Whether the source has been read completely at least once.
     bool isComplete() const
     {
@@ -175,6 +194,7 @@
     std::map<TargetId, Entry> m_entries;
     QHash<QString, DataCentreState> m_dataCentres;
     RouteTablePointer m_routes;
+    RouteHistory m_routeHistory;
     bool m_isComplete = false;
     bool m_isSourceAvailable = false;
     /// When the first full read ended.
--- a/packages/stream/targetdirectorysettings.h
+++ b/packages/stream/targetdirectorysettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timepoint.h"
+#include "stream/routehistorysettings.h"
 
 #include <QtGlobal>
 
@@ -19,6 +20,7 @@
     Duration promptReadLimit = 500ms;
     /// How long the machine of an unlisted target is recorded; longer than the lifetime of any flow.
     Duration departedRetention = 60s;
+    RouteHistorySettings routeHistory{};
 
     bool operator==(const TargetDirectorySettings &) const = default;
 };
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -32,6 +32,8 @@
         settings.service = service;
         settings.dataCentre = QStringLiteral("dc1");
         settings.directory.agentPort = agentPort;
+        // The former services of the routes are known, unless a test is about them.
+        settings.directory.routeHistory.isInitialStart = true;
         return settings;
     }
 
@@ -53,6 +55,7 @@
         message.target = target(1).id;
         message.incarnation = target(1).incarnation;
         message.candidates = std::move(candidates);
+        message.isServiceAllowed = kind == StreamMessageKind::Probe;
         message.packet = PlainFormat::encode(segment);
         return message;
     }
@@ -454,6 +457,23 @@
     EXPECT_TRUE(m_agent.isStopped(settled + 320ms));
 }
 
+// Guards against callers that are refused because their balancer reads a configuration later than the agents.
+TEST_F(StreamAgentTest, OpeningsByAnOutdatedConfigurationAreRedirected)
+{
+    StreamTarget other = target(4);
+    other.service = otherService;
+    apply({TargetListed{201, other}, RoutesPublished{202, routesTo(2, {{otherService, 1}})}});
+    const StreamActions actions = receive(settled, message(StreamMessageKind::Opening, callerSegment(SynFlag), {target(2).id}));
+    const std::vector<SendStreamMessage> forwarded = messages(actions, StreamMessageKind::Opening);
+    ASSERT_EQ(forwarded.size(), 1);
+    EXPECT_EQ(forwarded.front().to, agentAddress(4));
+    EXPECT_EQ(forwarded.front().message.service, otherService);
+    EXPECT_EQ(forwarded.front().message.configurationVersion, 2);
+    EXPECT_FALSE(resetsCaller(actions));
+    apply({RoutesPublished{203, routesTo(3, {})}});
+    EXPECT_TRUE(resetsCaller(receive(settled, message(StreamMessageKind::Opening, callerSegment(SynFlag, 900)))));
+}
+
 // Guards against openings that wait for ever behind requests that were answered long ago: a restarted agent sees a
 // retransmitted request whose answer has already passed, and the target only acknowledges it.
 TEST_F(StreamAgentTest, UnansweredRequestsDoNotFillTheTarget)
--- a/tests/stream/streamsimulationtest.cpp
+++ b/tests/stream/streamsimulationtest.cpp
@@ -1,4 +1,5 @@
 #include "streamsimulation.h"
+#include "streamtestdata.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -8,6 +9,9 @@
 namespace
 {
 
+/// A process counts as undisturbed once it has run without a fault for this long.
+constexpr Duration contactTime = 4s;
+
 /// A further request of a caller, by the number of its earlier one.
 using FurtherRequest = int (StreamSimulation::*)(int);
 
@@ -287,6 +291,61 @@
     RC_ASSERT(simulation.answeredWithin(settings.callerTimeout) == 1.0);
 }
 
+// Guards against resets of flows that are held by targets of a service which their route no longer uses, against packets that
+// reach targets of a service which it never used, and against new flows to a service that it no longer uses.
+RC_GTEST_PROP(StreamSimulationTest, ChangedServicesOfARouteBreakNoFlow, ())
+{
+    StreamSimulationSettings settings;
+    settings.seed = *rc::gen::arbitrary<quint64>();
+    settings.balancers = 3;
+    settings.targets = 12;
+    settings.otherTargets = 5;
+    settings.callerTimeout = 5s;
+    StreamSimulation simulation(settings);
+    const TimePoint begin = simulation.now();
+    const TimePoint end = begin + 12s;
+    sendPeriodicRequests(simulation, 60, 700ms, end);
+    using StreamTestData::otherService;
+    using StreamTestData::service;
+    const std::vector<std::vector<ServiceShare>> choices{{{service, 1}}, {{otherService, 1}}, {{service, 1}, {otherService, 3}}};
+    // At times two changes in a row.
+    const int changes = *rc::gen::inRange(1, 6);
+    for (int change = 0; change < changes; ++change) {
+        const TimePoint time = begin + std::chrono::milliseconds(*rc::gen::inRange(200, 8000));
+        const auto shares = *rc::gen::elementOf(choices);
+        const bool isReturned = *rc::gen::inRange(0, 4) == 0;
+        simulation.at(time, [&simulation, shares] { simulation.publishRoute(shares); });
+        if (isReturned) {
+            simulation.at(time + 100ms, [&simulation, &choices] { simulation.publishRoute(choices.front()); });
+        }
+    }
+    const bool isRouteRemoved = *rc::gen::inRange(0, 4) == 0;
+    if (isRouteRemoved) {
+        const TimePoint time = begin + std::chrono::milliseconds(*rc::gen::inRange(4000, 8000));
+        simulation.at(time, [&simulation] { simulation.publishRoute({}); });
+        simulation.at(time + 1500ms, [&simulation, &choices] { simulation.publishRoute(choices.back()); });
+    }
+    // The agents are restarted in turn, each once the one before it is back, or all fail at once.
+    const bool isAtOnce = *rc::gen::inRange(0, 3) == 0;
+    const TimePoint restartTime = begin + std::chrono::milliseconds(*rc::gen::inRange(500, 6000));
+    const auto gap = std::chrono::milliseconds(isAtOnce ? 0 : *rc::gen::inRange(350, 1200));
+    if (isAtOnce) {
+        simulation.disturbUntil(restartTime + contactTime);
+    }
+    for (int target = 0; target < settings.targets; ++target) {
+        simulation.at(restartTime + target * gap, [&simulation, target] { simulation.restartAgent(target, 300ms); });
+    }
+    restartBalancersAtRandom(simulation, settings.balancers, *rc::gen::inRange(1, 8), 500ms);
+    simulation.runUntil(end + 6s);
+    RC_ASSERT(wrongResets(simulation) == 0);
+    RC_ASSERT(simulation.foreignSegments() == 0);
+    // Each process reads a configuration within 0.8 s.
+    RC_ASSERT(simulation.openingsAfterRemoval(900ms) == 0);
+    RC_ASSERT(simulation.misroutedFlows() == 0);
+    // The callers of flows whose former service nobody knows any more wait until their timeout.
+    RC_ASSERT(isRouteRemoved || isAtOnce || simulation.answeredWithin(settings.callerTimeout) == 1.0);
+}
+
 // Guards against new flows to a draining target from balancers that are notified late.
 RC_GTEST_PROP(StreamSimulationTest, DrainingTargetsGetNoNewFlows, ())
 {
--- a/tests/stream/streamtestdata.h
+++ b/tests/stream/streamtestdata.h
@@ -20,6 +20,7 @@
 inline const Endpoint caller{0x64400007, 40001};
 inline const FlowKey flow{caller, route};
 inline const ServiceId service = serviceIdOf("counter");
+inline const ServiceId otherService = serviceIdOf("records");
 inline constexpr quint16 agentPort = 7720;
 
 /// Endpoint at which target number @p index receives segments.
@@ -59,6 +60,13 @@
     return std::make_shared<const RouteTable>(version, list, std::vector<StreamService>{{QStringLiteral("counter"), service, coldPerSecond, 2s}}, idleTimeout);
 }
 
+/// A route table of the version whose route uses the services; without services, it has no route.
+inline RouteTablePointer routesTo(quint64 version, std::vector<ServiceShare> shares)
+{
+    const std::vector<Route> list = shares.empty() ? std::vector<Route>{} : std::vector<Route>{{route, std::move(shares)}};
+    return std::make_shared<const RouteTable>(version, list, std::vector<StreamService>{{QStringLiteral("counter"), service, 0, 2s}}, 15s);
+}
+
 /// The changes of a full read in which the targets are listed at revisions 1, 2 and so on.
 inline std::vector<DirectoryChange> reading(const std::vector<StreamTarget> &targets, quint64 revision = 100)
 {
