Change the services of routes in the soak

Change: each plan has one to three changes of the services of a main route, at times two in a row, each followed by overlapping restarts of agents and balancers. Openings that reach a service later than the bound after it was taken off are a violation. Processes that start again have no initial-start.

--- a/proof/soak/deployment.py
+++ b/proof/soak/deployment.py
@@ -56,7 +56,7 @@
         self._sequence = 0
         self._incarnations = 0
         self._version = 0
-        # Per route: its service, and the times at which the store acknowledged its addition and its removal.
+        # Per route: its services, and the times at which the store acknowledged its addition, their latest change and its removal.
         self.routes = {}
         self.out_zones = {}
         self.published_routes = set()
@@ -88,12 +88,12 @@
             await self.links.add(machine.name, machine.public, machine.local, is_balancer)
             await self.store.listen(machine.name, machine.store)
         for number, service in enumerate(SERVICES):
-            self.routes[(segments.address_number(f"198.18.0.{number + 1}"), 443)] = {"service": service, "added": 0, "dropped": None}
+            self.routes[(segments.address_number(f"198.18.0.{number + 1}"), 443)] = {"service": service, "services": [service], "added": 0, "changed": 0, "dropped": None}
         self.publish()
         for machine in self.agents():
             await self.start_target(machine, is_cold=False)
         for machine in self.machines:
-            self.write_settings(machine)
+            self.write_settings(machine, is_initial_start=True)
             self.launch(machine)
         for machine in self.balancers():
             self.tasks.append(self.router.add(machine))
@@ -137,9 +137,10 @@
 
     # Processes
 
-    def write_settings(self, machine):
+    def write_settings(self, machine, is_initial_start=False):
         seeds = ",".join(f"{balancer.public}:{CONTROL_PORT}" for balancer in self.balancers()[:3])
         lines = ["[process]", f"name = {machine.name}", f"role = {machine.role}", f"data-centre = {machine.zone}", "log-level = debug",
+                 f"initial-start = {str(is_initial_start).lower()}",
                  f"stop-grace-seconds = {int(STOP_GRACE_SECONDS)}", "[listen]", f"bind-address = {machine.local}",
                  f"callers = {machine.local}:{CALLERS_PORT}", f"messages = {machine.public}:{MESSAGE_PORT}",
                  f"ready = {machine.local}:{READY_PORT}", f"metrics = {machine.local}:{METRICS_PORT}", f"spread = {machine.public}:{SPREAD_PORT}"]
@@ -194,6 +195,7 @@
     def restart(self, machine):
         if machine.process is None or machine.process.poll() is not None:
             machine.is_down = False
+            self.write_settings(machine)
             self.launch(machine)
 
     async def _watch_processes(self):
@@ -279,16 +281,19 @@
         routes = []
         for (address, port), route in self.routes.items():
             if route["dropped"] is None:
-                routes.append({"hostname": segments.address_text(address), "prefix": f"/{port}/", "service": route["service"], "type": "safe",
+                names = route["services"]
+                destinations = {"service": names[0]} if len(names) == 1 else {"backends": [{"service": name, "weight": 1} for name in names]}
+                routes.append({"hostname": segments.address_text(address), "prefix": f"/{port}/", **destinations, "type": "safe",
                                "timeout-ms": 4000, "objective-ms": 500, "priority": 1})
-                self.published_routes.add(((address, port), route["service"]))
+                self.published_routes.update(((address, port), name) for name in names)
         services = [{"name": service, "warmup-s": COLD_SECONDS, "warmup-per-s": COLD_OPENINGS_PER_SECOND, "health-path": "/health"} for service in SERVICES]
         self.store.put("op/config", {"version": self._version, "routes": routes, "services": services,
                                      "limits": {"idle-timeout-ms": IDLE_TIMEOUT_MS}})
 
     def add_route(self, number):
         key = (segments.address_number("198.18.1.1"), 1000 + number)
-        self.routes[key] = {"service": SERVICES[number % 2], "added": self.history.clock(), "dropped": None}
+        self.routes[key] = {"service": SERVICES[number % 2], "services": [SERVICES[number % 2]], "added": self.history.clock(), "changed": 0,
+                            "dropped": None}
         self.publish()
         return key
 
@@ -296,6 +301,11 @@
         self.routes[key]["dropped"] = self.history.clock()
         self.publish()
 
+    def change_services(self, key, services):
+        """Sends new flows of the route to other services; open flows stay where they are."""
+        self.routes[key].update(service=services[0], services=services, changed=self.history.clock())
+        self.publish()
+
     def set_out(self, zone, is_out):
         if is_out:
             self.store.put(f"op/evacuate/{zone}", {})
@@ -327,6 +337,10 @@
         out_since = self.out_zones.get(target.machine.zone)
         if out_since is not None and now - out_since > OUT_BOUND_SECONDS:
             self.history.add_violation("out", target.name, f"{target.name} received an opening {now - out_since:.2f} s after its data centre was taken out")
+        route = self.routes.get(destination)
+        if route and target.service not in route["services"] and now - route["changed"] > ROUTE_BOUND_SECONDS:
+            self.history.add_violation("config", destination, f"{target.name} received an opening {now - route['changed']:.2f} s after its service was "
+                                                              "taken off the route")
         dropped = self.routes.get(destination, {}).get("dropped")
         if dropped is not None and now - dropped > ROUTE_BOUND_SECONDS:
             self.history.add_violation("route", destination, f"{target.name} received an opening {now - dropped:.2f} s after its route was dropped")
--- a/proof/soak/faults.py
+++ b/proof/soak/faults.py
@@ -46,6 +46,15 @@
     return [Step(at, kind, tuple(random.random() for _ in range(4))) for kind, at in steps]
 
 
+def make_service_plan(random, seconds):
+    """Returns changes of the services of routes, with restarts of processes after them, so that flows of former services are looked up."""
+    steps = []
+    for _ in range(random.randint(1, 3)):
+        changing = random.uniform(0.5, seconds)
+        steps += [("services", changing), ("roll_both", changing + random.uniform(0, 3))]
+    return [Step(at, kind, tuple(random.random() for _ in range(4))) for kind, at in steps]
+
+
 class Faults:
     """Executes the steps of a plan on a deployment."""
 
@@ -113,6 +122,15 @@
         else:
             self._deployment.drop_route(self._added.pop())
 
+    async def _services(self, which, choice, again, pause):
+        """The services of a main route change, sometimes twice in a row."""
+        route = self._choose(list(self._deployment.routes)[:len(SERVICES)], which)
+        choices = [[SERVICES[0]], [SERVICES[1]], list(SERVICES)]
+        self._deployment.change_services(route, self._choose(choices, choice))
+        if again < 0.5:
+            await asyncio.sleep(pause * 0.5)
+            self._deployment.change_services(route, self._choose(choices, again * 2))
+
     async def _take_out(self, which, length, _, __):
         zone = self._choose(ZONES, which)
         if self._deployment.out_zones:
--- a/proof/soak/run.py
+++ b/proof/soak/run.py
@@ -12,7 +12,7 @@
 
 from .callers import REQUEST_TIMEOUT_SECONDS
 from .deployment import Deployment
-from .faults import Faults, make_flow_plan, make_plan
+from .faults import Faults, make_flow_plan, make_plan, make_service_plan
 from .history import RECOVERY_BOUND_SECONDS, History
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -76,7 +76,9 @@
     steps, is_planned_only = make_plan(generator, seconds)
     # Drawn apart, so that the first plan of a seed stays as it was when the seed was recorded.
     flow_generator = random.Random(f"flows of {seed}")
-    steps = sorted([*steps, *make_flow_plan(flow_generator, seconds, is_planned_only)], key=lambda step: step.at)
+    service_generator = random.Random(f"services of {seed}")
+    steps = sorted([*steps, *make_flow_plan(flow_generator, seconds, is_planned_only), *make_service_plan(service_generator, seconds)],
+                   key=lambda step: step.at)
     history.is_planned_only = is_planned_only
     deployment = Deployment(history, generator, slot, folder, daemons, size)
     try:
