Recognize targets that have started together with their agents

Cause: after a loss of power every flow has ended, and the next packets of its callers are looked up. Each agent had its target asked about each flow, since a process that starts does not know what its target holds; and each agent was asked twice for each flow, since the entries of the ended targets at the same addresses stay for some seconds.

Change: an agent compares the start of its target (as its entry tells) with its own. A target that has started at most 200 ms before its agent holds no earlier flow, so that the agent denies lookups at once. A lookup asks an agent once for each address and service.

Result: TargetThatHasStartedWithItsAgentHoldsNoEarlierFlow and AgentsAreAskedOnceForAnAddress fail without the change of the agent and of the lookup, respectively. Limit: a machine whose time of day is set back when its agent is restarted just after its target started may deny a flow that was opened in between.

--- a/apps/rattanpickd/stream/streamworker.cpp
+++ b/apps/rattanpickd/stream/streamworker.cpp
@@ -55,6 +55,7 @@
     agent.target = settings.target;
     agent.service = serviceIdOf(settings.service.toUtf8());
     agent.dataCentre = settings.dataCentre;
+    agent.startTime = std::chrono::floor<std::chrono::milliseconds>(std::chrono::system_clock::now());
     agent.directory = directory;
     agent.coldFactor = settings.coldFactor;
     agent.coldSlack = settings.coldSlack;
--- a/packages/stream/directoryimage.cpp
+++ b/packages/stream/directoryimage.cpp
@@ -16,7 +16,10 @@
 /// Limits the memory that a malformed batch can claim; the design size is about 20,000 targets and 2,000 routes.
 constexpr quint32 maximumCount = 1'000'000;
 /// Identifies the format and its version.
-constexpr quint32 batchMagic = 0x52504401;
+constexpr quint32 batchMagic = 0x52504402;
+
+/// Stands for the start of a target that did not tell it.
+constexpr qint64 unknownStart = -1;
 
 enum class ChangeTag : quint8 {
     Listed = 1,
@@ -107,7 +110,8 @@
     if (const auto *listed = std::get_if<TargetListed>(&change)) {
         const StreamTarget &target = listed->target;
         stream << ChangeTag::Listed << listed->revision << target.name << target.incarnation << target.service << target.address << target.dataCentre
-               << target.slotCount << target.isDraining << remainingMilliseconds(now, target.coldDeadline);
+               << target.slotCount << target.isDraining << remainingMilliseconds(now, target.coldDeadline)
+               << static_cast<qint64>(target.startTime ? target.startTime->time_since_epoch().count() : unknownStart);
     } else if (const auto *unlisted = std::get_if<TargetUnlisted>(&change)) {
         stream << ChangeTag::Unlisted << unlisted->revision << unlisted->name;
     } else if (const auto *switched = std::get_if<DataCentreSwitched>(&change)) {
@@ -129,8 +133,12 @@
     case ChangeTag::Listed: {
         StreamTarget target;
         qint64 coldMilliseconds = 0;
+        qint64 startMilliseconds = unknownStart;
         stream >> target.name >> target.incarnation >> target.service >> target.address >> target.dataCentre >> target.slotCount >> target.isDraining
-            >> coldMilliseconds;
+            >> coldMilliseconds >> startMilliseconds;
+        if (startMilliseconds != unknownStart) {
+            target.startTime = std::chrono::sys_time<std::chrono::milliseconds>(std::chrono::milliseconds(startMilliseconds));
+        }
         target.id = targetIdOf(target.name.toUtf8());
         target.coldDeadline = coldMilliseconds > 0 ? now + std::chrono::milliseconds(coldMilliseconds) : TimePoint{};
         return TargetListed{revision, std::move(target)};
--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -89,13 +89,18 @@
         if (isOwn || entry.agent.isNull() || lookup.denied.contains(id)) {
             continue;
         }
+        const TargetDirectory::Entry *successor = m_directory.findAt(entry.target.address);
+        if (!entry.isPresent() && successor != nullptr && successor->target.service == entry.target.service) {
+            // Its agent is asked on behalf of the target that has the address now.
+            continue;
+        }
         const bool isServiceAllowed = m_directory.mayHoldFlows(flow.service, entry.target.service);
         if (!isServiceAllowed && !asksAllServices) {
             continue;
         }
         if (entry.isPresent()) {
             lookup.outstanding.insert(id);
-        } else if (m_directory.findAt(entry.target.address) == nullptr) {
+        } else if (successor == nullptr) {
             lookup.unlisted.insert(id);
         }
         // The agent of an address that has another target now denies the earlier one.
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -62,8 +62,7 @@
         m_fence.onDirectoryRead();
     }
     if (const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target)) {
-        m_targetId = own->target.id;
-        m_targetIncarnation = own->target.incarnation;
+        onOwnTargetListed(own->target);
         m_slotCount = std::max<quint32>(1, own->target.slotCount);
         m_meter.setSlotCount(m_slotCount);
     }
@@ -73,6 +72,19 @@
     }
 }
 
+void StreamAgent::onOwnTargetListed(const StreamTarget &target)
+{
+    if (m_targetId == target.id && m_targetIncarnation == target.incarnation) {
+        return;
+    }
+    m_targetId = target.id;
+    m_targetIncarnation = target.incarnation;
+    const bool hasStartedWithThisProcess = target.service == m_settings.service && target.startTime && *target.startTime + m_settings.commonStart >= m_settings.startTime;
+    if (hasStartedWithThisProcess) {
+        m_retention.onTargetStarted();
+    }
+}
+
 void StreamAgent::onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions)
 {
     using Handler = void (StreamAgent::*)(TimePoint, const StreamMessage &, const Segment &, StreamActions &);
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -93,6 +93,7 @@
     void denyUnconfirmed(TimePoint now, const FlowKey &key, const HeldFlow &flow, const QString &reason, StreamActions &actions);
     void reportLoad(TimePoint now, StreamActions &actions);
     /// Announces the local target while the directory does not list it.
+    void onOwnTargetListed(const StreamTarget &target);
     void announceTarget(TimePoint now, StreamActions &actions);
     void answerHistoryQuery(TimePoint now, const Endpoint &peer, StreamActions &actions);
 
--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -9,6 +9,7 @@
 
 #include <QString>
 
+#include <chrono>
 #include <cstddef>
 
 namespace Rattanpick
@@ -24,6 +25,11 @@
     /// The service of the target.
     ServiceId service{};
     QString dataCentre;
+    /// Time of day at which this process has started.
+    std::chrono::sys_time<std::chrono::milliseconds> startTime{};
+    /// A target that has started later than this before the process holds no flow from before: no earlier agent can have started
+    /// beside it, offered it a flow and ended. After a loss of power both start within 150 ms of each other.
+    Duration commonStart = 200ms;
     TargetDirectorySettings directory;
     /// Rate limit of a cold target: its requests per second times the factor, plus the slack.
     double coldFactor = 1.0;
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -1058,6 +1058,40 @@
     EXPECT_FALSE(reachesTarget(settled + 4s, StreamMessageKind::Probe, 50));
 }
 
+// Load: after a loss of power all callers send on flows that have ended. Guards against agents that ask their targets about each
+// of them, although both have just started.
+TEST_F(StreamAgentTest, TargetThatHasStartedWithItsAgentHoldsNoEarlierFlow)
+{
+    StreamAgentSettings common = settings();
+    common.startTime = std::chrono::sys_time<std::chrono::milliseconds>(100s);
+    for (const auto &[startedBefore, isAsked] : {std::pair{-1000ms, false}, std::pair{150ms, false}, std::pair{250ms, true}}) {
+        StreamAgent agent(common, m_format, start);
+        StreamTarget own = target(1);
+        own.startTime = common.startTime - startedBefore;
+        StreamActions actions;
+        for (const DirectoryChange &change : reading({own, target(2)})) {
+            agent.onDirectoryChange(start, change, actions);
+        }
+        agent.onMessage(start + 10ms, message(StreamMessageKind::Probe, callerSegment(AckFlag, 2, 1001, 100)), actions);
+        EXPECT_EQ(segments<SendToStreamTarget>(actions).size(), isAsked ? 1 : 0);
+        EXPECT_EQ(messages(actions, StreamMessageKind::NotHeld).size(), isAsked ? 0 : 1);
+    }
+}
+
+// Load: the same. Guards against a second probe to the agent of each target that has started again at its address under another
+// name, while the entry of the earlier one has not expired.
+TEST_F(StreamAgentTest, AgentsAreAskedOnceForAnAddress)
+{
+    apply({TargetListed{201, target(2, 2)}, TargetListed{202, target(3, 2)}});
+    const StreamActions actions = receive(settled, message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100)));
+    std::vector<Endpoint> asked;
+    for (const SendStreamMessage &probe : messages(actions, StreamMessageKind::Probe)) {
+        asked.push_back(probe.to);
+    }
+    std::ranges::sort(asked);
+    EXPECT_EQ(asked, (std::vector{agentAddress(2), agentAddress(3)}));
+}
+
 // Guards against denials by an agent that does not know yet which idle timeout is in force.
 TEST_F(StreamAgentTest, AgentWithoutConfigurationAsksItsTarget)
 {
