Count a packet once in the soak's check of misrouted flows

Trace (each packet with its sequence, acknowledgement and length): the three packets are the request, its copies in the probes of one lookup, read late by targets that had stopped reading, and the caller's next acknowledgement, whose own agent was being restarted. The own target had taken and answered the request. All requests were answered.

Change: the check knows how often the caller has sent a packet and how often the own target has taken it. A packet counts once for each time it was sent and not taken, to however many targets it was passed; repetitions by the caller still count each.

--- a/proof/soak/arrivals.py
+++ b/proof/soak/arrivals.py
@@ -3,9 +3,11 @@
 import collections
 import dataclasses
 
-# A flow is misrouted if this many of its packets reach other targets within the span, and none its own.
+# A flow is misrouted if this many of its packets reach other targets within the span, and none its own. A packet that its caller
+# repeats counts each time. One that is sent once counts once, to however many targets a lookup has passed it, and not at all if
+# its own target has taken it: a target that has stopped reading takes its copy much later than the others.
 MISROUTED_PACKETS, MISROUTED_SECONDS = 3, 2.0
-# Copies of one packet, such as the probes of one lookup, arrive within this time.
+# Copies of one packet, such as the probes of one lookup, usually arrive within this time.
 COPIES_SECONDS = 0.05
 
 
@@ -23,9 +25,16 @@
     def __init__(self, history):
         self._history = history
         self._latest_own = {}
+        # How often callers have sent each packet, and how often the own target has taken it.
+        self._sent = collections.Counter()
+        self._taken = collections.Counter()
         self._strays = collections.defaultdict(list)
 
-    def record_own(self, flow, holder):
+    def record_sent(self, key, packet):
+        self._sent[key, packet] += 1
+
+    def record_own(self, flow, packet, holder):
+        self._taken[flow.key, packet] += 1
         self._check(flow, holder, self._history.clock())
         self._latest_own[flow] = self._history.clock()
 
@@ -45,6 +54,7 @@
         begin = self._latest_own.get(flow)
         if begin is None or now - begin < MISROUTED_SECONDS:
             return
+        strays = self._without_copies(flow, strays)
         for index in range(len(strays) - MISROUTED_PACKETS + 1):
             span = strays[index:index + MISROUTED_PACKETS]
             if span[-1].at - span[0].at <= MISROUTED_SECONDS and all(stray.is_undisturbed for stray in span):
@@ -52,3 +62,14 @@
                 self._history.add_violation("misrouted", flow, f"{len(span)} packets of the flow from port {flow.key[0][1]} at {holder} reached "
                                                                f"{targets} within {span[-1].at - span[0].at:.2f} s, and none its own")
                 return
+
+    def _without_copies(self, flow, strays):
+        """The strays without those that can only be further copies of what the caller has sent."""
+        counts = collections.Counter()
+        kept = []
+        for stray in strays:
+            missed = self._sent[flow.key, stray.packet] - self._taken[flow.key, stray.packet]
+            if counts[stray.packet] < missed:
+                counts[stray.packet] += 1
+                kept.append(stray)
+        return kept
--- a/proof/soak/callers.py
+++ b/proof/soak/callers.py
@@ -43,6 +43,7 @@
     def send(self, segment):
         if self._deployment.links.is_lost():
             return
+        self._deployment.history.arrivals.record_sent((segment.source, segment.destination), segment.identity())
         key = f"{segment.source}{segment.destination}{self.salt}"
         balancer = max(self.ready(), key=lambda candidate: zlib.crc32(f"{key}{candidate.name}".encode()))
         if self._deployment.links.is_cut("callers", balancer.name):
--- a/proof/soak/deployment.py
+++ b/proof/soak/deployment.py
@@ -361,10 +361,10 @@
         if holder is None or self.routes.get(key[1], {}).get("dropped") is not None:
             return
         if holder.target is target:
-            self.history.arrivals.record_own(flow, target.name)
+            self.history.arrivals.record_own(flow, segment.identity(), target.name)
             return
         involved = (holder.name, target.machine.name, *(balancer.name for balancer in self.balancers()))
-        packet = (segment.sequence, segment.acknowledgement, segment.flags, len(segment.data))
+        packet = segment.identity()
         self.history.arrivals.record_stray(flow, packet, target.name, self.history.is_undisturbed(*involved))
 
     def check_reset(self, key, sequence, acknowledgement):
--- a/proof/soak/segments.py
+++ b/proof/soak/segments.py
@@ -48,6 +48,10 @@
                          self.destination[0], self.flags if flags is None else flags, 0, self.computed_checksum(), len(self.data),
                          tag) + self.data
 
+    def identity(self):
+        """What a packet and its repetitions have in common, within its flow."""
+        return (self.sequence, self.acknowledgement, self.flags, len(self.data))
+
     def is_intact(self):
         """Whether the packet arrived as its sender wrote it, by the keyed checksum."""
         return self.checksum == self.computed_checksum()
