Refuse a configuration with an invalid route as a whole

Cause: routes with errors were left out and the rest came into force, so that the open flows of such a route were reset. A route with a service and with services and weights used the weights silently; negative weights and texts counted as 0. Change: any finding keeps the configuration in force; all findings are reported with the place of their routes. Services without targets and weights of 0 are accepted.

--- a/tests/platform/storedecodertest.cpp
+++ b/tests/platform/storedecodertest.cpp
@@ -122,9 +122,7 @@
         R"({"version":7,"routes":[)"
         R"({"name":"a","hostname":"198.18.0.1","prefix":"/8443/","type":"safe","timeout-ms":500,"objective-ms":100,"priority":2,)"
         R"("backends":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],"max-attempts":2},)"
-        R"({"name":"b","hostname":"198.18.0.2","prefix":"/80/","type":"unsafe","timeout-ms":600,"objective-ms":100,"priority":1,"service":"wuno96b"},)"
-        R"({"name":"c","hostname":"nowhere","prefix":"/80/","service":"wuno96b"},)"
-        R"({"name":"d","hostname":"198.18.0.3","prefix":"/80/"}],)"
+        R"({"name":"b","hostname":"198.18.0.2","prefix":"/80/","type":"unsafe","timeout-ms":600,"objective-ms":100,"priority":1,"service":"wuno96b"}],)"
         R"("services":[{"name":"huvo11a","health-path":"/health","max-conns":2000,"warmup-s":2.5,"warmup-per-s":4.5}],)"
         R"("limits":{"idle-timeout-ms":15000}})";
     const auto changes = decode(decoder, item(QStringLiteral("op/config"), configuration));
@@ -142,7 +140,49 @@
     EXPECT_FALSE(table.allows({0xc6120002, 80}, serviceIdOf("huvo11a")));
     EXPECT_EQ(table.findService(serviceIdOf("huvo11a"))->coldRequestsPerSecond, 4.5);
     EXPECT_EQ(table.findService(serviceIdOf("huvo11a"))->coldTime, 2500ms);
-    EXPECT_EQ(decoder.takeFindings().size(), 2);
+    EXPECT_TRUE(decoder.takeFindings().isEmpty());
+}
+
+// Guards against a configuration that comes into force without its invalid routes, so that their open flows are reset, and against
+// findings without their places.
+TEST(StoreDecoderTest, InvalidConfigurationsAreRefusedAsAWhole)
+{
+    const QByteArray valid = R"({"hostname":"198.18.0.1","prefix":"/80/","service":"a"})";
+    const QByteArray faults[] = {
+        R"({"hostname":"nowhere","prefix":"/80/","service":"a"})",
+        R"({"hostname":"198.18.0.3","prefix":"/80/"})",
+        R"({"hostname":"198.18.0.3","prefix":"/80/","service":"a","backends":[{"service":"a","weight":1}]})",
+        R"({"hostname":"198.18.0.3","prefix":"/80/","backends":[]})",
+        R"({"hostname":"198.18.0.3","prefix":"/80/","backends":[{"service":"a","weight":0},{"service":"b","weight":0}]})",
+        R"({"hostname":"198.18.0.3","prefix":"/80/","backends":[{"service":"a","weight":1},{"service":"b","weight":-1}]})",
+        R"({"hostname":"198.18.0.3","prefix":"/80/","backends":[{"service":"a","weight":1},{"service":"b","weight":"2"}]})",
+        R"({"hostname":"198.18.0.3","prefix":"/80/","backends":[{"weight":1}]})",
+        R"(7)",
+    };
+    StoreDecoder decoder;
+    for (const QByteArray &fault : faults) {
+        const QByteArray configuration = R"({"version":7,"routes":[)" + valid + ',' + fault + ',' + fault + "]}";
+        EXPECT_TRUE(decode(decoder, item(QStringLiteral("op/config"), configuration)).empty()) << fault.constData();
+        const Findings findings = decoder.takeFindings();
+        ASSERT_EQ(findings.size(), 2) << fault.constData();
+        EXPECT_EQ(findings.first().location.file, QStringLiteral("op/config routes[1]"));
+        EXPECT_EQ(findings.last().location.file, QStringLiteral("op/config routes[2]"));
+    }
+}
+
+// Guards against the refusal of what the operators may write: a service that has no target yet, and one that gets no flows.
+TEST(StoreDecoderTest, RoutesToServicesWithoutTargetsAreAccepted)
+{
+    StoreDecoder decoder;
+    const auto changes = decode(decoder,
+                                item(QStringLiteral("op/config"),
+                                     R"({"version":7,"routes":[{"hostname":"198.18.0.1","prefix":"/80/",)"
+                                     R"("backends":[{"service":"new","weight":1},{"service":"old","weight":0}]}],"services":[]})"));
+    ASSERT_EQ(changes.size(), 1);
+    const RouteTable &table = *std::get<RoutesPublished>(changes.front()).routes;
+    EXPECT_TRUE(table.allows({0xc6120001, 80}, serviceIdOf("new")));
+    EXPECT_FALSE(table.allows({0xc6120001, 80}, serviceIdOf("old")));
+    EXPECT_TRUE(decoder.takeFindings().isEmpty());
 }
 
 // Guards against a data centre that the wrong event switches out or in, and against decoding keys of other systems.
