--- a/apps/rattanpickd/stream/streamworker.cpp
+++ b/apps/rattanpickd/stream/streamworker.cpp
@@ -41,8 +41,9 @@
 makeDecisions(const StreamProcessSettings &settings, const SegmentFormat &format, TimePoint now, void (*adjustAgent)(StreamAgentSettings &))
 {
     // Agents listen on the same port on all machines, so the address of a target also gives the endpoint of its agent.
-    const TargetDirectorySettings directory{.agentPort = settings.messages.port, .departedRetention = settings.maximumFlowAge,
-                                           .routeHistory = {.maximumFlowAge = settings.maximumFlowAge, .isInitialStart = settings.isInitialStart}};
+    const TargetDirectorySettings directory{.agentPort = settings.messages.port,
+                                            .departedRetention = settings.maximumFlowAge,
+                                            .routeHistory = {.maximumFlowAge = settings.maximumFlowAge, .isInitialStart = settings.isInitialStart}};
     if (settings.role == DaemonRole::Balancer) {
         StreamBalancerSettings balancer;
         balancer.endpoint = settings.messages;
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -79,7 +79,8 @@
     }
     m_targetId = target.id;
     m_targetIncarnation = target.incarnation;
-    const bool hasStartedWithThisProcess = target.service == m_settings.service && target.startTime && *target.startTime + m_settings.commonStart >= m_settings.startTime;
+    const bool hasStartedWithThisProcess =
+        target.service == m_settings.service && target.startTime && *target.startTime + m_settings.commonStart >= m_settings.startTime;
     if (hasStartedWithThisProcess) {
         m_retention.onTargetStarted();
     }
@@ -232,7 +233,8 @@
 
 TimePoint StreamAgent::nextDeadline() const
 {
-    TimePoint next = std::min({m_directory.nextDeadline(), m_loadDeadline, m_lookup.nextDeadline(), m_announcer.nextDeadline(), m_historyQueries.nextDeadline()});
+    TimePoint next =
+        std::min({m_directory.nextDeadline(), m_loadDeadline, m_lookup.nextDeadline(), m_announcer.nextDeadline(), m_historyQueries.nextDeadline()});
     if (m_queue.size() > 0) {
         next = std::min(next, m_queue.nextDeadline());
         next = std::min(next, m_requestDeadlines.empty() ? TimePoint::max() : m_requestDeadlines.front().first);
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -1092,6 +1092,29 @@
     EXPECT_EQ(asked, (std::vector{agentAddress(2), agentAddress(3)}));
 }
 
+// Guards against a packet that reaches a target of a service which its route has never used, and against a reset while nobody knows
+// whether the route has used it: after all processes have failed, its agent has no record of the flows of its target.
+TEST_F(StreamAgentTest, AgentOfAnUnknownServiceIsUncertain)
+{
+    StreamMessage probe = message(StreamMessageKind::Probe, callerSegment(AckFlag, 2, 1001, 100));
+    probe.isServiceAllowed = false;
+    apply({RoutesPublished{201, routesTo(2, {{otherService, 1}})}});
+    StreamAgent restarted(settings(), m_format, settled);
+    StreamActions actions;
+    for (const DirectoryChange &change : reading({target(1), target(2)})) {
+        const bool isRoutes = std::holds_alternative<RoutesPublished>(change);
+        restarted.onDirectoryChange(settled, isRoutes ? RoutesPublished{1, routesTo(2, {{otherService, 1}})} : change, actions);
+    }
+    restarted.onMessage(settled, probe, actions);
+    EXPECT_TRUE(segments<SendToStreamTarget>(actions).empty());
+    ASSERT_EQ(messages(actions, StreamMessageKind::NotHeld).size(), 1);
+    EXPECT_TRUE(messages(actions, StreamMessageKind::NotHeld).front().message.isUncertain);
+    probe.isServiceAllowed = true;
+    actions.clear();
+    restarted.onMessage(settled, probe, actions);
+    EXPECT_EQ(segments<SendToStreamTarget>(actions).size(), 1);
+}
+
 // Guards against denials by an agent that does not know yet which idle timeout is in force.
 TEST_F(StreamAgentTest, AgentWithoutConfigurationAsksItsTarget)
 {
--- a/tests/stream/streammessagecodectest.cpp
+++ b/tests/stream/streammessagecodectest.cpp
@@ -45,9 +45,8 @@
         message.partCount = *rc::gen::arbitrary<quint16>();
         message.followedMilliseconds = *rc::gen::arbitrary<quint32>();
         for (int count = *rc::gen::inRange<int>(0, maximumFormerServices + 1); count > 0; --count) {
-            message.formerServices.push_back({{*rc::gen::arbitrary<quint32>(), *rc::gen::arbitrary<quint16>()},
-                                              ServiceId{*rc::gen::arbitrary<quint32>()},
-                                              *rc::gen::arbitrary<quint32>()});
+            message.formerServices.push_back(
+                {{*rc::gen::arbitrary<quint32>(), *rc::gen::arbitrary<quint16>()}, ServiceId{*rc::gen::arbitrary<quint32>()}, *rc::gen::arbitrary<quint32>()});
         }
     }
     if (message.kind == StreamMessageKind::Held || message.kind == StreamMessageKind::Load || message.kind == StreamMessageKind::Waiting) {
