Relay repeated segments through a third data centre

Cause: while two data centres are cut off from each other and a third one reaches both, a balancer in one goes on sending to the agent in the other; the flow stands still until its caller gives up (the feeds that froze in the users' report on the large deployment). Change: a segment with data that its caller repeats goes to the agent as before and, once more, through an agent in a third data centre (RelayChoice). An agent that gets a packet for another target sends it on and looks up nothing. A relay costs one message for each repeated segment of a flow whose target is in another data centre.

--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -363,6 +363,9 @@
         deliver(now, key, *flow, message, segment, actions);
         return;
     }
+    if (relay(message, actions)) {
+        return;
+    }
     if (flow != nullptr || m_retention.isComplete(now) || message.service != m_settings.service) {
         // A packet for a service that used this address before must not reach the current target.
         denyFlow(now, key, message, actions);
@@ -804,6 +807,19 @@
     actions.emplace_back(RecordStreamEvent{EventNumber::FlowRefused, key, QStringLiteral("reason=%1 hop=%2").arg(reason).arg(message.hopCount)});
 }
 
+bool StreamAgent::relay(const StreamMessage &message, StreamActions &actions) const
+{
+    const TargetDirectory::Entry *receiver = message.target != m_targetId ? findOther(message.target) : nullptr;
+    if (receiver == nullptr || !receiver->isPresent() || message.hopCount >= m_settings.maximumHops) {
+        return false;
+    }
+    StreamMessage relayed = message;
+    ++relayed.hopCount;
+    relayed.sender = m_settings.endpoint;
+    actions.emplace_back(SendStreamMessage{receiver->agent, std::move(relayed)});
+    return true;
+}
+
 void StreamAgent::redirectOpening(const StreamMessage &message, const FlowKey &key, StreamActions &actions)
 {
     // The candidates come from the same outdated configuration as the choice of this target.
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -122,6 +122,8 @@
     const TargetDirectory::Entry *findOther(TargetId target) const;
     /// Addresses the message to its next candidate that has an entry; null if none is left.
     const TargetDirectory::Entry *popCandidate(StreamMessage &message, CandidateOrder order) const;
+    /// Passes a packet on whose target is another one; returns whether it is.
+    bool relay(const StreamMessage &message, StreamActions &actions) const;
     void redirectOpening(const StreamMessage &message, const FlowKey &key, StreamActions &actions);
     void forwardOpening(const StreamMessage &message, const FlowKey &key, const QString &reason, StreamActions &actions);
     void deliver(TimePoint now, const FlowKey &key, HeldFlow &flow, const StreamMessage &message, const Segment &segment, StreamActions &actions);
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -1,6 +1,7 @@
 #include "stream/streambalancer.h"
 
 #include "stream/directoryreaders.h"
+#include "stream/relaychoice.h"
 
 #include <algorithm>
 
@@ -345,11 +346,31 @@
         std::erase(message.candidates, flow.target);
     }
     message.packet = packet;
+    relayRepeated(now, key, flow, segment, message, actions);
     actions.emplace_back(SendStreamMessage{flow.agent, std::move(message)});
     recordActivity(now, key, flow);
     flow.isFinished = segment.has(FinFlag) || segment.has(RstFlag);
 }
 
+void StreamBalancer::relayRepeated(TimePoint now, const FlowKey &key, Flow &flow, const Segment &segment, const StreamMessage &message, StreamActions &actions)
+    const
+{
+    if (segment.dataLength == 0) {
+        return;
+    }
+    const bool isRepeated = flow.dataSequence == segment.sequence;
+    flow.dataSequence = segment.sequence;
+    if (!isRepeated || !flow.isHeld || !m_settings.relaysRepeatedSegments) {
+        return;
+    }
+    const auto isSilent = [this, now](TargetId target) {
+        return m_placement.isSuspected(now, target);
+    };
+    if (const TargetDirectory::Entry *relay = RelayChoice::choose(m_directory, m_settings.placement.dataCentre, flow.target, key, isSilent)) {
+        actions.emplace_back(SendStreamMessage{relay->agent, message});
+    }
+}
+
 std::vector<TargetId> StreamBalancer::candidatesFor(TimePoint now, const Route &route, const FlowKey &flow)
 {
     quint64 total = 0;
--- a/packages/stream/streambalancer.h
+++ b/packages/stream/streambalancer.h
@@ -86,6 +86,8 @@
         QByteArray locatedPacket;
         TargetId lookupTarget{};
         int lookups = 0;
+        /// Sequence number of the latest segment with data that was sent to the agent.
+        std::optional<quint32> dataSequence;
         /// When the latest packet of the flow passed.
         TimePoint latestActivity{};
         /// Whether that packet ended the caller's side of the flow.
@@ -99,6 +101,7 @@
     void onLaterSegment(TimePoint now, const QByteArray &packet, const Segment &segment, StreamActions &actions);
     std::vector<TargetId> candidatesFor(TimePoint now, const Route &route, const FlowKey &flow);
     void offerNext(TimePoint now, const FlowKey &key, Flow &flow, StreamActions &actions);
+    void relayRepeated(TimePoint now, const FlowKey &key, Flow &flow, const Segment &segment, const StreamMessage &message, StreamActions &actions) const;
     void locate(TimePoint now, const FlowKey &key, Flow &flow, StreamActions &actions);
     bool retryOffer(TimePoint now, TimePoint deadline, const FlowKey &key, Flow &flow, StreamActions &actions);
     bool retryLookup(TimePoint now, TimePoint deadline, const FlowKey &key, Flow &flow, StreamActions &actions);
--- a/packages/stream/streambalancersettings.h
+++ b/packages/stream/streambalancersettings.h
@@ -37,6 +37,8 @@
     Duration withdrawnLinger = 100ms;
     /// If a message of the agent of an unlisted target arrived within this time, the target still holds its flows.
     Duration unlistedAgentTimeout = 1500ms;
+    /// Whether a segment that the caller repeats also goes through an agent in a third data centre.
+    bool relaysRepeatedSegments = true;
     SilentAgentsSettings silentAgents;
 
     bool operator==(const StreamBalancerSettings &) const = default;
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -1115,6 +1115,18 @@
     EXPECT_EQ(segments<SendToStreamTarget>(actions).size(), 1);
 }
 
+// Guards against a relayed packet that reaches the target beside the relay, or is looked up there.
+TEST_F(StreamAgentTest, RelayedPacketsGoToTheAgentOfTheirTarget)
+{
+    StreamMessage relayed = message(StreamMessageKind::Deliver, callerSegment(AckFlag, 2, 1001, 100));
+    relayed.target = target(2).id;
+    const StreamActions actions = receive(start + 1s, relayed);
+    ASSERT_EQ(messages(actions, StreamMessageKind::Deliver).size(), 1);
+    EXPECT_EQ(messages(actions, StreamMessageKind::Deliver).front().to, agentAddress(2));
+    EXPECT_TRUE(segments<SendToStreamTarget>(actions).empty());
+    EXPECT_TRUE(messages(actions, StreamMessageKind::Probe).empty());
+}
+
 // Guards against denials by an agent that does not know yet which idle timeout is in force.
 TEST_F(StreamAgentTest, AgentWithoutConfigurationAsksItsTarget)
 {
--- a/tests/stream/streamsimulation.cpp
+++ b/tests/stream/streamsimulation.cpp
@@ -325,7 +325,11 @@
     StreamActions batch;
     batch.swap(actions);
     for (const StreamAction &action : batch) {
-        if (const auto *message = std::get_if<SendStreamMessage>(&action); message != nullptr && !isLost()) {
+        const auto *message = std::get_if<SendStreamMessage>(&action);
+        if (message != nullptr && isCut(message->message.sender, message->to)) {
+            continue;
+        }
+        if (message != nullptr && !isLost()) {
             at(m_now + delay(), [this, copy = *message] { deliverMessage(copy.to, copy.message); });
         } else if (const auto *target = std::get_if<SendToStreamTarget>(&action)) {
             at(m_now + targetLink, [this, agentIndex, packet = target->packet] { toTarget(agentIndex, packet); });
@@ -432,6 +436,7 @@
     settings.endpoint = balancerAddress(index);
     settings.directory.agentPort = StreamTestData::agentPort;
     settings.placement.dataCentre = QStringLiteral("dc%1").arg(index % 3);
+    settings.relaysRepeatedSegments = m_settings.relaysRepeatedSegments;
     auto balancer = std::make_unique<StreamBalancer>(settings, m_format);
     StreamActions ignored;
     for (const DirectoryChange &change : currentDirectory()) {
@@ -564,6 +569,22 @@
     publishChange(TargetListed{++m_revision, describeTarget(index, target.incarnationNumber(), true)}, 800ms);
 }
 
+void StreamSimulation::cutBetween(int first, int second, TimePoint end)
+{
+    m_cut = {first, second};
+    m_cutEnd = end;
+}
+
+bool StreamSimulation::isCut(const Endpoint &from, const Endpoint &to) const
+{
+    const auto dataCentre = [](const Endpoint &endpoint) {
+        const quint32 first = endpoint.address >= balancerAddress(0).address ? balancerAddress(0).address : StreamTestData::agentAddress(0).address;
+        return static_cast<int>((endpoint.address - first) % 3);
+    };
+    const std::pair places(dataCentre(from), dataCentre(to));
+    return m_now < m_cutEnd && (places == m_cut || std::pair(places.second, places.first) == m_cut);
+}
+
 void StreamSimulation::loseMachine(int index)
 {
     m_agents[static_cast<std::size_t>(index)].reset();
--- a/tests/stream/streamsimulation.h
+++ b/tests/stream/streamsimulation.h
@@ -37,6 +37,8 @@
     /// Time after which a draining target refuses connections while it still serves its flows; empty if it accepts them
     /// until its end.
     std::optional<Duration> portClosesAfter;
+    /// Whether balancers send repeated segments also through a third data centre.
+    bool relaysRepeatedSegments = true;
     /// Settings of the agents that tests vary.
     StreamAgentSettings agent;
 };
@@ -133,6 +135,9 @@
     /// Publishes a configuration whose route uses the services; without services, the route is removed.
     void publishRoute(const std::vector<ServiceShare> &shares);
 
+    /// No message passes between the two data centres until the time.
+    void cutBetween(int first, int second, TimePoint end);
+
     /// Redistributes packets of callers over the balancers.
     void reshuffle()
     {
@@ -197,6 +202,7 @@
     ServiceId serviceOf(int index) const;
     void readRoutes(std::size_t index, const RoutesPublished &change);
     StreamTarget describeTarget(int index, int incarnationNumber, bool isDraining = false) const;
+    bool isCut(const Endpoint &from, const Endpoint &to) const;
     Duration delay();
     bool isLost();
 
@@ -224,6 +230,9 @@
     quint64 m_nextAttempt = 1;
     quint64 m_hashSeed = 0;
     quint64 m_revision = 1000;
+    /// The data centres that are cut off from each other, and until when.
+    std::pair<int, int> m_cut{-1, -1};
+    TimePoint m_cutEnd{};
     RouteTablePointer m_routes;
     std::set<ServiceId> m_allowedServices;
     /// When each balancer and each agent reads the latest routes.
--- a/tests/stream/streamsimulationtest.cpp
+++ b/tests/stream/streamsimulationtest.cpp
@@ -364,6 +364,29 @@
     RC_ASSERT(simulation.answeredWithin(settings.callerTimeout) == 1.0);
 }
 
+// Guards against feeds that freeze while two data centres cannot reach each other and a third one reaches both.
+TEST(StreamSimulationTest, FeedsGoOnWhileTwoDataCentresAreCutFromEachOther)
+{
+    const auto simulate = [](bool relaysRepeatedSegments) {
+        StreamSimulationSettings settings;
+        settings.balancers = 3;
+        settings.targets = 6;
+        settings.callerTimeout = 1s;
+        settings.relaysRepeatedSegments = relaysRepeatedSegments;
+        StreamSimulation simulation(settings);
+        const TimePoint begin = simulation.now();
+        sendPeriodicRequests(simulation, 30, 400ms, begin + 5s);
+        simulation.at(begin + 1s, [&simulation, begin] { simulation.cutBetween(0, 1, begin + 4s); });
+        simulation.runUntil(begin + 7s);
+        EXPECT_EQ(wrongResets(simulation), 0);
+        EXPECT_EQ(simulation.misroutedFlows(), 0);
+        return simulation.answeredWithin(settings.callerTimeout);
+    };
+    const double without = simulate(false);
+    EXPECT_EQ(simulate(true), 1.0) << "without relays: " << without;
+    EXPECT_LT(without, 1.0);
+}
+
 // Load: after a power loss, 300 callers open flows at once to four cold targets that serve about 160 requests a second.
 // Guards against targets that shed requests which they could serve later, and against openings that wait in the
 // target's own FIFO queue until all are late.
