Forget only flows from before the start of the agent

The entry that shows that a target has started with its agent may be read late, after an outage of the store. It made the agent's table count as complete, also as to flows that the agent itself had removed since its start. Change: only what was unknown at the start of the agent is settled by it (FlowRetention::forgetUnknown).

--- a/packages/stream/flowretention.cpp
+++ b/packages/stream/flowretention.cpp
@@ -21,6 +21,13 @@
     m_latestUnknownActivity = std::max(m_latestUnknownActivity, latestActivity);
 }
 
+void FlowRetention::forgetUnknown(TimePoint latestActivity)
+{
+    if (m_latestUnknownActivity <= latestActivity) {
+        m_latestUnknownActivity = TimePoint::min();
+    }
+}
+
 void FlowRetention::onTargetStarted()
 {
     m_latestUnknownActivity = TimePoint::min();
--- a/packages/stream/flowretention.h
+++ b/packages/stream/flowretention.h
@@ -30,6 +30,9 @@
     /// this process was not running.
     void recordUnknown(TimePoint latestActivity);
 
+    /// The target holds no flow whose latest activity was at this time or before.
+    void forgetUnknown(TimePoint latestActivity);
+
     /// The target's process has started within the lifetime of this one, so that it holds no flow from before.
     void onTargetStarted();
 
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -44,6 +44,7 @@
     , m_watch(m_settings, m_meter)
     , m_announcer(m_settings, m_directory)
     , m_historyQueries(m_settings, m_directory)
+    , m_startedAt(now)
     , m_loadDeadline(now + settings.loadInterval)
 {
     // As after a pause, nothing is known yet of drains, of data centres that are out and of cold targets.
@@ -82,7 +83,8 @@
     const bool hasStartedWithThisProcess =
         target.service == m_settings.service && target.startTime && *target.startTime + m_settings.commonStart >= m_settings.startTime;
     if (hasStartedWithThisProcess) {
-        m_retention.onTargetStarted();
+        // The entry may be read late; flows that this process has removed since its start are still unknown.
+        m_retention.forgetUnknown(m_startedAt);
     }
 }
 
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -161,6 +161,7 @@
     TargetWatch m_watch;
     TargetAnnouncer m_announcer;
     RouteHistoryQueries m_historyQueries;
+    TimePoint m_startedAt;
     OpeningQueue m_queue;
     /// Flows whose first request is expected, ordered by the time until which it is.
     std::deque<std::pair<TimePoint, FlowKey>> m_requestDeadlines;
--- a/tests/stream/flowretentiontest.cpp
+++ b/tests/stream/flowretentiontest.cpp
@@ -32,6 +32,21 @@
     EXPECT_EQ(retention.expiry(start, false), start + 6s);
 }
 
+// Guards against a table that counts as complete although flows were removed from it after the time that is known to be clear.
+TEST(FlowRetentionTest, LaterUnknownFlowsAreNotForgotten)
+{
+    TargetDirectory directory({});
+    FlowRetention retention({}, directory);
+    publish(directory, start, 1, 8s);
+    retention.recordUnknown(start);
+    EXPECT_FALSE(retention.isComplete(start));
+    retention.forgetUnknown(start);
+    EXPECT_TRUE(retention.isComplete(start));
+    retention.recordUnknown(start + 1s);
+    retention.forgetUnknown(start);
+    EXPECT_FALSE(retention.isComplete(start + 2s));
+}
+
 // Guards against a denial of flows that this process has removed itself: the table is judged by a plain model in which a
 // flow is in use as long as it has never been idle for as long as the timeout in force. Timeouts are raised and lowered
 // while flows are idle, each change reaches the process late, and the process restarts without its table.
--- a/tests/stream/streamprocesssettingsreadertest.cpp
+++ b/tests/stream/streamprocesssettingsreadertest.cpp
@@ -50,6 +50,21 @@
     EXPECT_EQ(settings->coldSlack, 5);
     EXPECT_EQ(settings->stopGrace, 6s);
     EXPECT_TRUE(settings->control.isNull());
+    EXPECT_FALSE(settings->isInitialStart);
+}
+
+// Guards against a process that takes its start for the first one of the fleet, and against a value that is ignored.
+TEST(StreamProcessSettingsReaderTest, InitialStartIsTrueOrFalse)
+{
+    StreamProcessSettingsReader reader(QStringLiteral("agent.ini"));
+    QByteArray text = agentText;
+    text.replace("[listen]\n", "initial-start = true\n[listen]\n");
+    const std::optional<StreamProcessSettings> settings = reader.read(text);
+    ASSERT_TRUE(settings);
+    EXPECT_TRUE(settings->isInitialStart);
+    text.replace("= true", "= yes");
+    EXPECT_FALSE(reader.read(text));
+    EXPECT_EQ(reader.findings().size(), 1);
 }
 
 // Guards against a process behind address translation that cannot bind its sockets, and against an invalid address that
