Handle stop and reload signals from the beginning of a start

Cause: a process installed its signal handlers only after it had read its settings, opened its log and bound its sockets. A reload signal ended it as well. Ruled out: lost requests, since nothing is served by then.

Change: the signals are blocked from the first statement of main() until the handlers are installed, and are delivered then. What remains is the time of the dynamic linker before main().

--- a/apps/rattanpickd/main.cpp
+++ b/apps/rattanpickd/main.cpp
@@ -7,7 +7,9 @@
 #include <QLibrary>
 
 #include <array>
+#include <csignal>
 #include <cstdio>
+#include <initializer_list>
 #include <string>
 
 using namespace Rattanpick;
@@ -30,6 +32,17 @@
     RoleCommand{"stream-agent", "Runs beside a target that holds byte-stream flows on the platform.", DaemonRole::Agent, false},
 };
 
+/// Holds back the signals that a role handles until its handlers are installed; their default action ends the process.
+void changeSignalMask(int how, std::initializer_list<int> signals)
+{
+    sigset_t mask;
+    sigemptyset(&mask);
+    for (const int signal : signals) {
+        sigaddset(&mask, signal);
+    }
+    pthread_sigmask(how, &mask, nullptr);
+}
+
 int runMessageMode(const MessageModeOptions &options)
 {
     QLibrary module(QCoreApplication::applicationDirPath() + QLatin1Char('/') + QLatin1String(messageModuleName));
@@ -45,6 +58,7 @@
 
 int main(int argc, char **argv)
 {
+    changeSignalMask(SIG_BLOCK, {SIGTERM, SIGINT, SIGHUP});
     CLI::App commandLine("Daemon of the rattanpick load balancer.", "rattanpickd");
     commandLine.require_subcommand(1);
     std::string settingsFile;
@@ -65,6 +79,8 @@
     if (!role->isMessageMode) {
         return runStreamDaemon({QString::fromStdString(settingsFile), role->role, isCheckOnly});
     }
+    // The message mode does not reload its settings.
+    changeSignalMask(SIG_UNBLOCK, {SIGHUP});
     QCoreApplication application(argc, argv);
     return runMessageMode({settingsFile.c_str(), documentFile.empty() ? nullptr : documentFile.c_str(), role->role == DaemonRole::Balancer, isCheckOnly});
 }
--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -85,6 +85,13 @@
     action.sa_handler = onReloadSignal;
     sigaction(SIGHUP, &action, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    // Signals that arrived during the start are delivered now.
+    sigset_t handled;
+    sigemptyset(&handled);
+    for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&handled, signal);
+    }
+    pthread_sigmask(SIG_UNBLOCK, &handled, nullptr);
 }
 
 }
