Add the settings and the objective of routes that the parts for hard load share

Cause: five parts are built side by side and need the same values. Change: BalancingSettings, Route::objective and StreamDecisions::onSettings; nothing reads them yet. Result: the stream package compiles; no decision has changed.

--- a/packages/stream/placement.h
+++ b/packages/stream/placement.h
@@ -32,6 +32,12 @@
     /// The target did not answer an opening in time.
     void onUnanswered(TimePoint now, TargetId target);
 
+    /// The settings of the process were changed.
+    void onSettings(const BalancingSettings &settings)
+    {
+        m_settings.balancing = settings;
+    }
+
     // Decisions
 
     /// At most @p limit targets of the service for a new flow, the best first; empty if none may take it.
--- a/packages/stream/placementsettings.h
+++ b/packages/stream/placementsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/timepoint.h"
+#include "stream/balancingsettings.h"
 
 #include <QString>
 
@@ -12,6 +13,7 @@
 {
     /// The data centre of this process.
     QString dataCentre;
+    BalancingSettings balancing;
     /// How long a target that did not answer an opening is ranked last; a restarted agent is back within this time.
     Duration suspicionTime = 500ms;
     /// Time between two pings of a target that did not answer.
--- a/packages/stream/route.h
+++ b/packages/stream/route.h
@@ -33,6 +33,8 @@
     int priority = 0;
     /// Time after which a caller stops waiting for an answer; zero if unknown.
     Duration timeout{};
+    /// Time within which an answer is worth its full value to the caller; zero if unknown.
+    Duration objective{};
 
     /// Whether the service is one of the route's.
     bool usesService(ServiceId service) const
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -88,6 +88,11 @@
     }
 }
 
+void StreamAgent::onSettings(const BalancingSettings &settings)
+{
+    m_settings.balancing = settings;
+}
+
 void StreamAgent::onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions)
 {
     using Handler = void (StreamAgent::*)(TimePoint, const StreamMessage &, const Segment &, StreamActions &);
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -37,6 +37,7 @@
     // StreamDecisions
 
     void onDirectoryChange(TimePoint now, const DirectoryChange &change, StreamActions &actions) override;
+    void onSettings(const BalancingSettings &settings) override;
     void onPacket(TimePoint now, const QByteArray &packet, StreamActions &actions) override;
     void onMessage(TimePoint now, const StreamMessage &message, StreamActions &actions) override;
     void onTick(TimePoint now, StreamActions &actions) override;
--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -3,6 +3,7 @@
 #include "core/endpoint.h"
 #include "core/identifiers.h"
 #include "core/timepoint.h"
+#include "stream/balancingsettings.h"
 #include "stream/flowretentionsettings.h"
 #include "stream/silentagentssettings.h"
 #include "stream/targetdirectorysettings.h"
@@ -31,6 +32,7 @@
     /// beside it, offered it a flow and ended. After a loss of power both start within 150 ms of each other.
     Duration commonStart = 200ms;
     TargetDirectorySettings directory;
+    BalancingSettings balancing;
     /// Rate limit of a cold target: its requests per second times the factor, plus the slack.
     double coldFactor = 1.0;
     double coldSlack = 0;
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -25,6 +25,11 @@
     m_directory.apply(now, change);
 }
 
+void StreamBalancer::onSettings(const BalancingSettings &settings)
+{
+    m_placement.onSettings(settings);
+}
+
 void StreamBalancer::onPacket(TimePoint now, const QByteArray &packet, StreamActions &actions)
 {
     const std::optional<Segment> segment = m_format.decode(packet);
--- a/packages/stream/streamdecisions.h
+++ b/packages/stream/streamdecisions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "stream/balancingsettings.h"
 #include "stream/directorychange.h"
 #include "stream/streamaction.h"
 
@@ -17,6 +18,9 @@
     /// Applies a change of targets, data centres or routes.
     virtual void onDirectoryChange(TimePoint now, const DirectoryChange &change, StreamActions &actions) = 0;
 
+    /// The settings for uneven and scarce load were changed.
+    virtual void onSettings(const BalancingSettings &settings) = 0;
+
     /// Processes a packet of a caller (balancers) or of the local target (agents).
     virtual void onPacket(TimePoint now, const QByteArray &packet, StreamActions &actions) = 0;
 
--- a/packages/stream/streamprocesssettings.h
+++ b/packages/stream/streamprocesssettings.h
@@ -4,6 +4,7 @@
 #include "core/event.h"
 #include "core/timepoint.h"
 #include "operators/daemonsettings.h"
+#include "stream/balancingsettings.h"
 
 #include <QList>
 #include <QString>
@@ -49,6 +50,7 @@
     Duration maximumFlowAge = 60s;
     /// The whole fleet starts for the first time, so that there are no flows yet.
     bool isInitialStart = false;
+    BalancingSettings balancing;
 
     // Agent
 
