Give the shared settings values a default member initializer

Cause: GCC reports a missing initializer where a test names only some members of a settings value. Result: test_stream compiles.

--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -32,7 +32,7 @@
     /// beside it, offered it a flow and ended. After a loss of power both start within 150 ms of each other.
     Duration commonStart = 200ms;
     TargetDirectorySettings directory;
-    BalancingSettings balancing;
+    BalancingSettings balancing{};
     /// Rate limit of a cold target: its requests per second times the factor, plus the slack.
     double coldFactor = 1.0;
     double coldSlack = 0;
--- a/packages/stream/streamprocesssettings.h
+++ b/packages/stream/streamprocesssettings.h
@@ -50,7 +50,7 @@
     Duration maximumFlowAge = 60s;
     /// The whole fleet starts for the first time, so that there are no flows yet.
     bool isInitialStart = false;
-    BalancingSettings balancing;
+    BalancingSettings balancing{};
 
     // Agent
 
