Announce the end of a target before its agent is gone

All machines lose power at 34.8 s; 2,362 requests, nearly all on open long flows, wait for their deadline until 42 s. From 37 s on each lookup waits for unlisted targets of four agents (2,230 FlowSearchFailed reason=no-answer in the logs of some agents): targets that had drained before. Their agents start again, announce targets that no longer run, and their machines are removed one after the other until 40 s. Each removal costs every lookup two seconds of silence.

Cause: an agent that found its target ended stopped announcing it, but told nobody. The others kept waiting for it, also after its planned stop. Ruled out: the former services of routes, which hold lookups up until 37 s only, and the budget of probes.

Change: the message TargetEnded. An agent sends it instead of the announcement as soon as it finds the target of its unlisted entry ended, and at its planned stop if the target has ended. Lookups ask no agent of a target that is not present and has ended; one that waits for nothing else ends at once. A target that is listed or announced again counts again. Earlier processes drop the message as malformed and wait as before.

Result: AgentsOfEndedTargetsAreNotWaitedFor and EndOfTheTargetIsAnnounced fail with the mechanism off; ReportedEndOfAnEarlierTargetBreaksNoFlow guards the other direction.

--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -86,7 +86,7 @@
     m_roundDeadlines.emplace_back(lookup.roundDeadline, flow);
     for (const auto &[id, entry] : m_directory.entries()) {
         const bool isOwn = entry.target.address == m_settings.target;
-        if (isOwn || entry.agent.isNull() || lookup.denied.contains(id)) {
+        if (isOwn || entry.agent.isNull() || entry.isGone() || lookup.denied.contains(id)) {
             continue;
         }
         const bool isServiceAllowed = m_directory.mayHoldFlows(flow.service, entry.target.service);
@@ -242,6 +242,21 @@
 
 // Agents and lifetime
 
+std::vector<std::pair<FlowKey, FlowLookup::Outcome>> FlowLookup::onTargetEnded(TimePoint now)
+{
+    std::vector<std::pair<FlowKey, Outcome>> outcomes;
+    for (auto &[flow, lookup] : m_lookups) {
+        const std::size_t erased = std::erase_if(lookup.unlisted, [this](TargetId target) {
+            const TargetDirectory::Entry *entry = m_directory.find(target);
+            return entry != nullptr && entry->isGone();
+        });
+        if (erased > 0) {
+            outcomes.emplace_back(flow, conclude(now, flow, lookup));
+        }
+    }
+    return outcomes;
+}
+
 void FlowLookup::onAgentMessage(TimePoint now, const Endpoint &agent)
 {
     if (!m_silentAgents.onMessage(agent)) {
--- a/packages/stream/flowlookup.h
+++ b/packages/stream/flowlookup.h
@@ -62,6 +62,9 @@
     /// lets the flow use its service.
     Outcome onNotHeldByOwnTarget(TimePoint now, const FlowKey &flow, bool isUncertain = false);
 
+    /// A target has ended, as the directory tells. Returns the lookups that have waited for it, and what becomes of them.
+    std::vector<std::pair<FlowKey, Outcome>> onTargetEnded(TimePoint now);
+
     /// Processes any message of the agent: rounds that have left it out are repeated.
     void onAgentMessage(TimePoint now, const Endpoint &agent);
 
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -121,6 +121,8 @@
         finishLookup(now, message.flow, m_lookup.onNotHeld(now, message), actions);
     } else if (message.kind == StreamMessageKind::UnlistedTarget) {
         m_directory.recordUnlisted(now, message.targetAddress, message.service);
+    } else if (message.kind == StreamMessageKind::TargetEnded) {
+        onPeerTargetEnded(now, message, actions);
     } else if (message.kind == StreamMessageKind::RouteHistoryQuery) {
         answerHistoryQuery(now, message.sender, actions);
     } else if (message.kind == StreamMessageKind::RouteHistory) {
@@ -140,6 +142,7 @@
     }
     if (m_watch.onReceived()) {
         m_fence.onTargetActive();
+        m_announcer.onTargetChange(now);
         reportLoad(now, actions);
     }
     if (segment->has(BouncedFlag)) {
@@ -428,6 +431,7 @@
     case TargetWatch::Outcome::Started:
         m_retention.onTargetStarted();
         m_fence.onTargetStarted(now);
+        m_announcer.onTargetChange(now);
         reportLoad(now, actions);
         break;
     case TargetWatch::Outcome::Ended:
@@ -438,12 +442,18 @@
     }
     if (m_watch.hasEnded()) {
         denyUnconfirmedFlows(now, actions);
+        if (m_stopDeadline && !m_hasAnnouncedEnd) {
+            // Nobody answers for the target once this process has ended.
+            m_hasAnnouncedEnd = true;
+            sendAnnouncement(now, m_announcer.receivers(now), actions);
+        }
     }
 }
 
 void StreamAgent::onTargetLost(TimePoint now, StreamActions &actions)
 {
     m_fence.onTargetEnded();
+    m_announcer.onTargetChange(now);
     actions.emplace_back(RecordStreamEvent{
         EventNumber::TargetLost, {}, QStringLiteral("reason=connection-refused flows=%1 waiting=%2").arg(m_flows.size()).arg(m_queue.size())});
     reportLoad(now, actions);
@@ -510,17 +520,29 @@
 
 void StreamAgent::announceTarget(TimePoint now, StreamActions &actions)
 {
-    const std::vector<Endpoint> receivers = m_announcer.takeReceivers(now);
-    if (receivers.empty() || m_watch.hasEnded()) {
+    sendAnnouncement(now, m_announcer.takeReceivers(now), actions);
+}
+
+void StreamAgent::sendAnnouncement(TimePoint now, const std::vector<Endpoint> &receivers, StreamActions &actions)
+{
+    if (receivers.empty()) {
         return;
     }
-    StreamMessage announcement = answer(now, StreamMessageKind::UnlistedTarget, {});
+    StreamMessage announcement = answer(now, m_watch.hasEnded() ? StreamMessageKind::TargetEnded : StreamMessageKind::UnlistedTarget, {});
     announcement.targetAddress = m_settings.target;
     for (const Endpoint &agent : receivers) {
         actions.emplace_back(SendStreamMessage{agent, announcement});
     }
 }
 
+void StreamAgent::onPeerTargetEnded(TimePoint now, const StreamMessage &message, StreamActions &actions)
+{
+    m_directory.recordEnded(message.targetAddress, message.service);
+    for (const auto &[flow, outcome] : m_lookup.onTargetEnded(now)) {
+        finishLookup(now, flow, outcome, actions);
+    }
+}
+
 // Packets of the target
 
 void StreamAgent::onBounced(TimePoint now, const Segment &segment, StreamActions &actions)
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -95,8 +95,10 @@
     void reportLoad(TimePoint now, StreamActions &actions);
     /// The directory names the local target, or names it anew.
     void onOwnTargetListed(const StreamTarget &target);
-    /// Announces the local target while the directory does not list it.
+    /// Announces the local target, or its end, while the directory does not list it.
     void announceTarget(TimePoint now, StreamActions &actions);
+    void sendAnnouncement(TimePoint now, const std::vector<Endpoint> &receivers, StreamActions &actions);
+    void onPeerTargetEnded(TimePoint now, const StreamMessage &message, StreamActions &actions);
     void answerHistoryQuery(TimePoint now, const Endpoint &peer, StreamActions &actions);
 
     // Packets of the target
@@ -190,6 +192,8 @@
     AnswerMeter m_answers;
     std::optional<TimePoint> m_stopDeadline;
     TimePoint m_stopMinimumDeadline{};
+    /// Whether the end of the target was announced during the planned stop.
+    bool m_hasAnnouncedEnd = false;
 };
 
 }
--- a/packages/stream/streammessage.h
+++ b/packages/stream/streammessage.h
@@ -45,6 +45,8 @@
     RouteHistoryQuery = 13,
     /// Former services of the routes; the answer to a query has one message or more.
     RouteHistory = 14,
+    /// The process of the sender's target has ended; flows that it held no longer exist.
+    TargetEnded = 15,
 };
 
 /// A message between a balancer and the agents, or between two agents. Members that a kind does not use stay empty.
@@ -90,7 +92,7 @@
     quint16 partCount = 0;
     /// RouteHistory: for how long the sender has followed the configuration, in milliseconds.
     quint32 followedMilliseconds = 0;
-    /// UnlistedTarget: where the target receives segments.
+    /// UnlistedTarget and TargetEnded: where the target receives segments.
     Endpoint targetAddress;
     /// The whole packet of the caller; for kinds that carry a segment.
     QByteArray packet;
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -29,6 +29,11 @@
     return kind == StreamMessageKind::Held || kind == StreamMessageKind::Load || kind == StreamMessageKind::Waiting;
 }
 
+bool namesAddress(StreamMessageKind kind)
+{
+    return kind == StreamMessageKind::UnlistedTarget || kind == StreamMessageKind::TargetEnded;
+}
+
 QDataStream &operator<<(QDataStream &stream, const LoadReport &load)
 {
     return stream << load.requestsInProgress << load.meanInProgressHundredths << load.flows << load.serviceMicroseconds << load.failurePermille
@@ -94,7 +99,7 @@
     if (carriesLoad(message.kind)) {
         stream << message.load;
     }
-    if (message.kind == StreamMessageKind::UnlistedTarget) {
+    if (namesAddress(message.kind)) {
         stream << message.targetAddress;
     }
     if (message.kind == StreamMessageKind::RouteHistory) {
@@ -122,7 +127,7 @@
     StreamMessage message;
     stream >> receivedMagic >> message.kind >> message.hopCount >> message.configurationVersion >> message.directoryRevision >> message.verifiedMilliseconds
         >> message.lamport >> message.sender >> message.balancer >> message.service >> message.target >> message.incarnation;
-    requireWire(stream, receivedMagic == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::RouteHistory);
+    requireWire(stream, receivedMagic == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::TargetEnded);
     if (namesFlow(message.kind)) {
         stream >> message.flow;
     }
@@ -134,7 +139,7 @@
     if (carriesLoad(message.kind)) {
         readLoad(stream, message.load);
     }
-    if (message.kind == StreamMessageKind::UnlistedTarget) {
+    if (namesAddress(message.kind)) {
         stream >> message.targetAddress;
     }
     if (message.kind == StreamMessageKind::RouteHistory) {
--- a/packages/stream/targetannouncer.cpp
+++ b/packages/stream/targetannouncer.cpp
@@ -20,12 +20,24 @@
     }
 }
 
+void TargetAnnouncer::onTargetChange(TimePoint now)
+{
+    if (m_deadline != TimePoint::max()) {
+        m_deadline = now;
+    }
+}
+
 std::vector<Endpoint> TargetAnnouncer::takeReceivers(TimePoint now)
 {
     if (now < m_deadline) {
         return {};
     }
     m_deadline = now + m_settings.announcementInterval;
+    return receivers(now);
+}
+
+std::vector<Endpoint> TargetAnnouncer::receivers(TimePoint now) const
+{
     // Only agents whose targets may serve the same flows look them up. An agent without an entry may serve as well.
     std::set<Endpoint> receivers;
     for (const auto &[id, entry] : m_directory.entries()) {
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -38,6 +38,7 @@
             continue;
         }
         isKnown = true;
+        entry.hasEnded = false;
         if (entry.listing == Listing::Departed) {
             entry.listingDeadline = now + m_settings.departedRetention;
         }
@@ -56,6 +57,15 @@
     markDeparted(now, entry);
 }
 
+void TargetDirectory::recordEnded(const Endpoint &address, ServiceId service)
+{
+    for (auto &[id, entry] : m_entries) {
+        if (entry.target.address == address && entry.target.service == service) {
+            entry.hasEnded = true;
+        }
+    }
+}
+
 void TargetDirectory::onTick(TimePoint now)
 {
     m_firstUsedAt = m_firstUsedAt.value_or(now);
@@ -95,6 +105,7 @@
     entry.listedRevision = change.revision;
     entry.listing = Listing::Listed;
     entry.listingDeadline = TimePoint::max();
+    entry.hasEnded = false;
     entry.isServiceNamed = isServiceNamed(change.target.service);
     ++m_generation;
     settleAddress(change.target.address);
--- a/packages/stream/targetdirectory.h
+++ b/packages/stream/targetdirectory.h
@@ -47,6 +47,8 @@
         bool isServiceNamed = true;
         /// Whether a later entry that may be used has the same address.
         bool isSuperseded = false;
+        /// The agent of the target has reported the end of its process since the entry was listed or announced.
+        bool hasEnded = false;
 
         /// Whether the entry may name the target at its address.
         bool isUsable() const
@@ -59,6 +61,12 @@
         {
             return isUsable() && !isSuperseded;
         }
+
+        /// Whether the target is known to hold no flows any more.
+        bool isGone() const
+        {
+            return hasEnded && !isPresent();
+        }
     };
 
     /// Builds an empty directory whose source is not available yet.
@@ -72,6 +80,9 @@
     /// The agent of a target that is not listed announces it: records the target as departed, unless it is known.
     void recordUnlisted(TimePoint now, const Endpoint &address, ServiceId service);
 
+    /// The agent of a target reports that the process has ended; a target that is not known is not recorded.
+    void recordEnded(const Endpoint &address, ServiceId service);
+
     /// Marks lapsed entries as departed and removes departed ones, as they become due.
     void onTick(TimePoint now);
 
--- a/tests/daemon/streamdaemontest.cpp
+++ b/tests/daemon/streamdaemontest.cpp
@@ -26,10 +26,10 @@
 {
     const pid_t process = getpid();
     const QString address = QStringLiteral("127.%1.%2.1").arg(100 + process / 256 % 100).arg(process % 256);
-    const QString text = QStringLiteral(
-        "[process]\nname = balancer\nrole = balancer\ndata-centre = escale\nlog-level = info\nstop-grace-seconds = 6\n"
-        "[listen]\nmessages = %1:7001\nready = %1:7002\nmetrics = %1:7003\nspread = %1:7004\ncontrol = %1:7005\ncallers = %1:7006\n"
-        "[directory]\nstore = %1:7007\nseeds =\n[flows]\nmaximum-age-seconds = 60\n");
+    const QString text =
+        QStringLiteral("[process]\nname = balancer\nrole = balancer\ndata-centre = escale\nlog-level = info\nstop-grace-seconds = 6\n"
+                       "[listen]\nmessages = %1:7001\nready = %1:7002\nmetrics = %1:7003\nspread = %1:7004\ncontrol = %1:7005\ncallers = %1:7006\n"
+                       "[directory]\nstore = %1:7007\nseeds =\n[flows]\nmaximum-age-seconds = 60\n");
     return text.arg(address).toUtf8();
 }
 
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -150,6 +150,17 @@
         return actions;
     }
 
+    /// The agent of target number @p index announces its target, which is not listed, or the end of it.
+    static StreamMessage announcement(StreamMessageKind kind, int index)
+    {
+        StreamMessage announcement;
+        announcement.kind = kind;
+        announcement.sender = agentAddress(index);
+        announcement.service = service;
+        announcement.targetAddress = targetAddress(index);
+        return announcement;
+    }
+
     static bool probesTarget(const StreamActions &actions)
     {
         return std::ranges::any_of(actions, [](const StreamAction &action) { return std::holds_alternative<ProbeStreamTarget>(action); });
@@ -834,12 +845,7 @@
     bounce(start + 1s, receive(start + 1s, located));
     reportNotHeld(start + 1001ms, 2);
     EXPECT_FALSE(resetsCaller(reportNotHeld(start + 1002ms, 3)));
-    StreamMessage announcement;
-    announcement.kind = StreamMessageKind::UnlistedTarget;
-    announcement.sender = agentAddress(4);
-    announcement.service = service;
-    announcement.targetAddress = targetAddress(4);
-    receive(start + 1100ms, announcement);
+    receive(start + 1100ms, announcement(StreamMessageKind::UnlistedTarget, 4));
     const StreamActions later = receive(start + 2100ms, located);
     EXPECT_FALSE(resetsCaller(later));
     const auto probes = messages(later, StreamMessageKind::Probe);
@@ -849,6 +855,55 @@
     EXPECT_FALSE(resetsCaller(m_ignored)) << "the agent of the unlisted target may be restarted as well";
 }
 
+// Load: thousands of flows after a loss of power, while machines are removed whose targets have ended. Guards against callers that
+// wait in vain for an agent that has told of the end of its target and is gone, and against a reset while a target that was
+// announced again after such a report may hold the flow.
+TEST_F(StreamAgentTest, AgentsOfEndedTargetsAreNotWaitedFor)
+{
+    const StreamMessage located = message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100));
+    receive(settled, announcement(StreamMessageKind::UnlistedTarget, 4));
+    receive(settled, located);
+    reportNotHeld(settled + 1ms, 2);
+    EXPECT_FALSE(resetsCaller(reportNotHeld(settled + 2ms, 3)));
+    EXPECT_TRUE(resetsCaller(receive(settled + 10ms, announcement(StreamMessageKind::TargetEnded, 4))));
+
+    receive(settled + 1s, announcement(StreamMessageKind::UnlistedTarget, 4));
+    const StreamActions again = receive(settled + 2s, located);
+    EXPECT_EQ(messages(again, StreamMessageKind::Probe).size(), 3);
+    reportNotHeld(settled + 2001ms, 2);
+    EXPECT_FALSE(resetsCaller(reportNotHeld(settled + 2002ms, 3)));
+}
+
+// Guards against a report of an end that takes the flows of the target that is listed at the address now.
+TEST_F(StreamAgentTest, ReportedEndOfAnEarlierTargetBreaksNoFlow)
+{
+    receive(settled, announcement(StreamMessageKind::TargetEnded, 3));
+    const StreamActions actions = receive(settled + 1s, message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100)));
+    EXPECT_EQ(messages(actions, StreamMessageKind::Probe).size(), 2);
+    EXPECT_FALSE(resetsCaller(reportNotHeld(settled + 1001ms, 2)));
+}
+
+// Guards against peers that wait for an agent whose target has ended: it tells so at once if the target is not listed, and when it is
+// stopped afterwards, since nobody answers for the target then.
+TEST_F(StreamAgentTest, EndOfTheTargetIsAnnounced)
+{
+    apply({TargetUnlisted{200, target(1).name}}, settled);
+    StreamActions actions;
+    m_agent.onTick(settled, actions);
+    EXPECT_EQ(messages(actions, StreamMessageKind::UnlistedTarget).size(), 2);
+    refuseConnection(settled + 100ms);
+    actions.clear();
+    m_agent.onTick(settled + 101ms, actions);
+    ASSERT_EQ(messages(actions, StreamMessageKind::TargetEnded).size(), 2);
+    EXPECT_EQ(messages(actions, StreamMessageKind::TargetEnded).front().message.targetAddress, targetAddress(1));
+    EXPECT_TRUE(messages(actions, StreamMessageKind::UnlistedTarget).empty());
+    actions.clear();
+    m_agent.beginStop(settled + 200ms, actions);
+    m_agent.onTargetProbed(settled + 210ms, false, actions);
+    EXPECT_EQ(messages(actions, StreamMessageKind::TargetEnded).size(), 2);
+    EXPECT_TRUE(m_agent.isStopped(settled + 210ms));
+}
+
 // Guards against a caller that waits in vain although its target is gone, because the agent that looks it up was restarted
 // lately: an agent that knows all targets goes on.
 TEST_F(StreamAgentTest, RestartedAgentHandsLookupsOverToAnInformedOne)
--- a/tests/stream/streammessagecodectest.cpp
+++ b/tests/stream/streammessagecodectest.cpp
@@ -35,7 +35,7 @@
     if (message.kind <= StreamMessageKind::Ended || message.kind == StreamMessageKind::Waiting) {
         message.flow = {{*rc::gen::arbitrary<quint32>(), *rc::gen::arbitrary<quint16>()}, StreamTestData::route};
     }
-    if (message.kind == StreamMessageKind::UnlistedTarget) {
+    if (message.kind == StreamMessageKind::UnlistedTarget || message.kind == StreamMessageKind::TargetEnded) {
         message.targetAddress = {*rc::gen::arbitrary<quint32>(), *rc::gen::arbitrary<quint16>()};
     }
     message.isUnsettled = message.kind == StreamMessageKind::NotHeld && *rc::gen::arbitrary<bool>();
