Do not take a clock that is set back for a target that has just started

Change: both starts have to lie within 200 ms of each other. A target that really starts later refuses the agent's first connection, which shows the same without a clock.

Result: TargetThatHasStartedWithItsAgentHoldsNoEarlierFlow expected the denial for a start 1 s after the agent; it is stricter now, and its cases -1000 ms and -250 ms fail before. Left: a clock that is set back by the age of the target to within 200 ms.

--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -28,8 +28,8 @@
     QString dataCentre;
     /// Time of day at which this process has started.
     std::chrono::sys_time<std::chrono::milliseconds> startTime{};
-    /// A target that has started later than this before the process holds no flow from before: no earlier agent can have started
-    /// beside it, offered it a flow and ended. After a loss of power both start within 150 ms of each other.
+    /// A target that has started within this time of the process holds no flow from before: no earlier agent can have started beside it,
+    /// offered it a flow and ended. After a loss of power both start within 150 ms of each other.
     Duration commonStart = 200ms;
     TargetDirectorySettings directory;
     BalancingSettings balancing{};
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -1114,12 +1114,14 @@
 }
 
 // Load: after a loss of power all callers send on flows that have ended. Guards against agents that ask their targets about each
-// of them, although both have just started.
+// of them, although both have just started, and against a reset after a planned restart of the agent while the time of day is set
+// back: the target seems to have started after it.
 TEST_F(StreamAgentTest, TargetThatHasStartedWithItsAgentHoldsNoEarlierFlow)
 {
     StreamAgentSettings common = settings();
     common.startTime = std::chrono::sys_time<std::chrono::milliseconds>(100s);
-    for (const auto &[startedBefore, isAsked] : {std::pair{-1000ms, false}, std::pair{150ms, false}, std::pair{250ms, true}}) {
+    for (const auto &[startedBefore, isAsked] :
+         {std::pair{-1000ms, true}, std::pair{-250ms, true}, std::pair{-150ms, false}, std::pair{150ms, false}, std::pair{250ms, true}}) {
         StreamAgent agent(common, m_format, start);
         StreamTarget own = target(1);
         own.startTime = common.startTime - startedBefore;
