Leave flows to the target while a later configuration has not been read

The 5 s for which a flow is kept beyond its timeout cover an agent in touch only.

Change: StreamAgent::knowsAllFlows() needs the latest version that any message has shown. Until it is read the target is asked.

Result: AgentWithAnOlderConfigurationAsksItsTarget fails before; 237 tests of the stream package pass.

--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -204,6 +204,12 @@
     return isCertain && lookup.outstanding.empty() && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllPresentTargets(now);
 }
 
+bool FlowLookup::hasLatestRoutes() const
+{
+    const RouteTablePointer &routes = m_directory.routes();
+    return routes != nullptr && routes->version() >= m_latestVersion;
+}
+
 bool FlowLookup::knowsAllTargets(TimePoint now) const
 {
     return m_directory.routeHistory().isComplete(now) && knowsAllPresentTargets(now);
@@ -213,9 +219,7 @@
 {
     // A complete read of the directory lacks the targets that live without an entry; their agents announce them to the
     // listed ones.
-    const RouteTablePointer &routes = m_directory.routes();
-    const bool hasLatestRoutes = routes != nullptr && routes->version() >= m_latestVersion;
-    return hasLatestRoutes && m_directory.hasAllTargets(now) && m_directory.isListed(m_settings.target);
+    return hasLatestRoutes() && m_directory.hasAllTargets(now) && m_directory.isListed(m_settings.target);
 }
 
 bool FlowLookup::areUnlistedGone(TimePoint now, const Lookup &lookup) const
--- a/packages/stream/flowlookup.h
+++ b/packages/stream/flowlookup.h
@@ -74,6 +74,9 @@
         m_latestVersion = std::max(m_latestVersion, version);
     }
 
+    /// Whether this process has read the latest version of the configuration that any message has shown.
+    bool hasLatestRoutes() const;
+
     /// Whether this process knows all targets that may hold flows, including those that live without an entry and those of
     /// services that routes have used before.
     bool knowsAllTargets(TimePoint now) const;
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -378,7 +378,7 @@
     if (relay(message, actions)) {
         return;
     }
-    if (flow != nullptr || m_retention.isComplete(now) || message.service != m_settings.service) {
+    if (flow != nullptr || knowsAllFlows(now) || message.service != m_settings.service) {
         // A packet for a service that used this address before must not reach the current target.
         denyFlow(now, key, message, actions);
         return;
@@ -397,7 +397,7 @@
         actions.emplace_back(SendStreamMessage{message.balancer, held});
         return;
     }
-    if (flow != nullptr || m_retention.isComplete(now) || message.service != m_settings.service) {
+    if (flow != nullptr || knowsAllFlows(now) || message.service != m_settings.service) {
         denyProbe(now, key, message, actions);
         return;
     }
@@ -933,7 +933,7 @@
 void StreamAgent::runLookups(TimePoint now, StreamActions &actions)
 {
     while (const std::optional<FlowLookup::Round> round = m_lookup.takeRound(now, actions)) {
-        const bool mayOwnTargetHold = round->isOwnTargetAsked && !m_retention.isComplete(now) && findConfirmed(round->flow) == nullptr;
+        const bool mayOwnTargetHold = round->isOwnTargetAsked && !knowsAllFlows(now) && findConfirmed(round->flow) == nullptr;
         const bool isServiceAllowed = m_directory.mayHoldFlows(round->flow.service, m_settings.service);
         if (mayOwnTargetHold && isServiceAllowed) {
             deliverUnconfirmed(now, round->flow, round->message, *m_format.decode(round->message.packet), actions);
@@ -1007,6 +1007,12 @@
     removeFlow(now, key);
 }
 
+bool StreamAgent::knowsAllFlows(TimePoint now) const
+{
+    // A later version of the configuration may have raised the idle timeout.
+    return m_lookup.hasLatestRoutes() && m_retention.isComplete(now);
+}
+
 void StreamAgent::removeFlow(TimePoint now, const FlowKey &key)
 {
     const auto found = m_flows.find(key);
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -145,6 +145,8 @@
     void resetAfterLookup(TimePoint now, const FlowKey &key, StreamActions &actions);
     void trackCallerSegment(TimePoint now, HeldFlow &flow, const StreamMessage &message, const Segment &segment);
     void terminateFlow(TimePoint now, const FlowKey &key, HeldFlow &flow, const QString &reason, StreamActions &actions);
+    /// Whether the target holds no flow in use that this process has no record of.
+    bool knowsAllFlows(TimePoint now) const;
     void removeFlow(TimePoint now, const FlowKey &key);
     void recordActivity(TimePoint now, const FlowKey &key, HeldFlow &flow);
     void removeExpired(TimePoint now);
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -1103,6 +1103,16 @@
     EXPECT_FALSE(reachesTarget(start + 40s, StreamMessageKind::Probe, 3)) << "the flow has been idle for too long";
 }
 
+// Guards against a denial by an agent that has an older configuration than its peers: the later one may have raised the idle timeout.
+TEST_F(StreamAgentTest, AgentWithAnOlderConfigurationAsksItsTarget)
+{
+    StreamMessage probe = message(StreamMessageKind::Probe, callerSegment(AckFlag, 2, 1001, 100));
+    probe.configurationVersion = 2;
+    EXPECT_EQ(segments<SendToStreamTarget>(receive(settled, probe)).size(), 1);
+    setIdleTimeout(settled + 1s, 2, 15s);
+    EXPECT_FALSE(reachesTarget(settled + 2s, StreamMessageKind::Probe, 50));
+}
+
 // Guards against the same if the timeout is raised once the agent has run for the earlier one.
 TEST_F(StreamAgentTest, RaisedIdleTimeoutAppliesToFlowsFromBeforeTheStart)
 {
