Draw two targets for a flow and place it on the better one

All balancers ranked all targets by the same old counts and placed their flows on the same minimum. With usesTwoChoices, the first two candidates are drawn by the hash of the flow, in proportion to capacity, from the usable targets without failures. A new LoadEstimate fades reported counts and offered flows into the reported mean.

--- a/packages/stream/placement.cpp
+++ b/packages/stream/placement.cpp
@@ -1,5 +1,7 @@
 #include "stream/placement.h"
 
+#include "stream/twochoices.h"
+
 #include <algorithm>
 #include <span>
 
@@ -48,11 +50,15 @@
     state.loadReceivedAt = now;
     state.loadDeadline = now + m_settings.loadReportLifetime;
     state.offered = 0;
+    // The estimate is kept even if it is not used, since a reload may switch it on.
+    state.estimate.onReport(now, load, load.serviceMicroseconds > 0 ? load.serviceMicroseconds * 1e-6 : seconds(m_settings.assumedServiceTime));
 }
 
-void Placement::onOffered(TimePoint /*now*/, TargetId target)
+void Placement::onOffered(TimePoint now, TargetId target)
 {
-    ++m_states[target].offered;
+    State &state = m_states[target];
+    ++state.offered;
+    state.estimate.onOffered(now);
 }
 
 void Placement::onUnanswered(TimePoint now, TargetId target)
@@ -69,6 +75,8 @@
     // Targets that are closed or do not answer come last, since the state of them may be outdated. The agent of a closed
     // target still forwards the opening, or takes it if no other target is left.
     enum Rank {
+        Drawn,
+        DrawnSecond,
         Usable,
         Closed,
         Suspected,
@@ -83,20 +91,25 @@
     const Baseline &baseline = currentBaseline(now, directory, service);
     std::vector<Choice> choices;
     std::vector<Choice> draining;
+    TwoChoices draw;
     for (const auto &[id, entry] : directory.entries()) {
         if (entry.target.service != service || !entry.isPresent()) {
             continue;
         }
         const State *state = stateOf(id);
         const bool isClosed = state != nullptr && state->load.isClosed && now < state->loadDeadline;
+        const Expectation expected = expectation(now, entry.target, baseline);
         const Choice choice{isSuspected(now, id) ? Suspected
                             : isClosed           ? Closed
                                                  : Usable,
-                            expectedSeconds(now, entry.target, baseline),
+                            expected.seconds,
                             hashPair(flow.hash(), static_cast<quint64>(id)),
                             id};
         if (directory.acceptsFlows(entry)) {
             choices.push_back(choice);
+            if (m_settings.balancing.usesTwoChoices && choice.rank == Usable && !expected.fails) {
+                draw.add({id, choice.hash, expected.capacity, expected.evenSeconds, entry.target.dataCentre == m_settings.dataCentre});
+            }
         } else if (entry.drainingSince && now < *entry.drainingSince + m_settings.drainingGrace && !directory.isOut(entry.target.dataCentre)) {
             draining.push_back(choice);
         }
@@ -104,6 +117,14 @@
     if (choices.empty()) {
         choices = std::move(draining);
     }
+    // Many balancers with the same old load data would all choose the target that last seemed idle, so it is drawn. The
+    // second one is drawn as well, or all openings passed on would meet at the same target.
+    if (m_settings.balancing.usesTwoChoices) {
+        const auto [better, other] = draw.drawn();
+        for (Choice &choice : choices) {
+            choice.rank = choice.id == better ? Drawn : choice.id == other ? DrawnSecond : choice.rank;
+        }
+    }
     // The hash spreads flows over equally loaded targets; it is the same for all balancers.
     const std::size_t count = std::min(limit, choices.size());
     std::ranges::partial_sort(choices, choices.begin() + static_cast<std::ptrdiff_t>(count), [](const Choice &a, const Choice &b) {
@@ -170,11 +191,15 @@
 {
     std::vector<double> times;
     std::vector<double> lengths;
+    double requests = 0;
+    double flows = 0;
     for (const auto &[id, state] : m_states) {
         const TargetDirectory::Entry *entry = directory.find(id);
         if (entry == nullptr || entry->target.service != service || now >= state.loadDeadline) {
             continue;
         }
+        requests += state.load.meanInProgressHundredths / 100.0;
+        flows += state.load.flows;
         if (state.load.serviceMicroseconds > 0) {
             times.push_back(state.load.serviceMicroseconds * 1e-6);
         }
@@ -182,29 +207,46 @@
             lengths.push_back(state.load.answerBytes);
         }
     }
-    return {median(times), median(lengths), {}};
+    return {median(times), median(lengths), flows > 0 ? requests / flows : 0, {}};
 }
 
-double Placement::expectedSeconds(TimePoint now, const StreamTarget &target, const Baseline &baseline) const
+Placement::Expectation Placement::expectation(TimePoint now, const StreamTarget &target, const Baseline &baseline) const
 {
     const State *state = stateOf(target.id);
-    double service = baseline.serviceSeconds > 0 ? baseline.serviceSeconds : seconds(m_settings.assumedServiceTime);
-    double inProgress = state != nullptr ? state->offered : 0;
+    const double typical = baseline.serviceSeconds > 0 ? baseline.serviceSeconds : seconds(m_settings.assumedServiceTime);
+    double service = typical;
     double failure = 0;
     if (state != nullptr && now < state->loadDeadline) {
         if (state->load.serviceMicroseconds > 0) {
             service = std::max(state->load.serviceMicroseconds * 1e-6, baseline.serviceSeconds * m_settings.minimumServiceTimeShare);
         }
-        // The mean accounts for the requests that long flows will send later, the current count for those that wait
-        // now.
-        inProgress += std::max<double>(state->load.requestsInProgress, state->load.meanInProgressHundredths / 100.0);
         failure = failureShare(state->load, baseline);
     }
+    const double inProgress = state != nullptr ? requestsInProgress(now, *state, baseline, service / typical) : 0;
     const double slots = std::max<quint32>(1, target.slotCount);
     const double waiting = std::max(0.0, inProgress + 1 - slots) / slots;
     const double sharing = inProgress / slots / 4;
     const double remoteCost = target.dataCentre == m_settings.dataCentre ? 0 : seconds(m_settings.interDataCentreCost);
-    return service * (1 + waiting + sharing) + remoteCost + failure * seconds(m_settings.failureCost);
+    return {service * (1 + waiting + sharing) + remoteCost + failure * seconds(m_settings.failureCost),
+            typical * (1 + waiting + sharing) + remoteCost,
+            slots / service,
+            failure > 0};
+}
+
+double Placement::requestsInProgress(TimePoint now, const State &state, const Baseline &baseline, double slowness) const
+{
+    const bool isReported = now < state.loadDeadline;
+    const double mean = isReported ? state.load.meanInProgressHundredths / 100.0 : 0;
+    if (!m_settings.balancing.usesTwoChoices) {
+        // The mean accounts for the requests that long flows will send later, the current count for those that wait
+        // now.
+        return state.offered + (isReported ? std::max<double>(state.load.requestsInProgress, mean) : 0);
+    }
+    // Long flows that a target has just received are not in its mean yet, while flows of a single request are hardly
+    // ever idle and their number says no more than the count.
+    const double ofFlows = isReported ? state.load.flows * baseline.requestsPerFlow * slowness : 0;
+    const double idleShare = std::max(0.0, 1 - baseline.requestsPerFlow);
+    return state.estimate.requestsInProgress(now, mean + idleShare * std::max(0.0, ofFlows - mean));
 }
 
 double Placement::failureShare(const LoadReport &load, const Baseline &baseline) const
--- a/packages/stream/placement.h
+++ b/packages/stream/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/flowkey.h"
+#include "stream/loadestimate.h"
 #include "stream/loadreport.h"
 #include "stream/placementsettings.h"
 #include "stream/targetdirectory.h"
@@ -63,23 +64,40 @@
         TimePoint loadReceivedAt{};
         /// Flows offered since the latest load report.
         quint32 offered = 0;
+        LoadEstimate estimate;
         TimePoint lastSeenAt{};
         TimePoint suspicionDeadline{};
         TimePoint pingDeadline = TimePoint::max();
     };
 
-    /// Medians over the targets of a service; 0 if unknown.
+    /// Medians and means over the targets of a service; 0 if unknown.
     struct Baseline
     {
         double serviceSeconds = 0;
         double answerBytes = 0;
+        /// Mean requests in progress for each flow that a target holds.
+        double requestsPerFlow = 0;
         /// When the medians are computed again.
         TimePoint deadline{};
     };
 
+    /// What a request is expected to cost at a target.
+    struct Expectation
+    {
+        /// Expected time of a request, including the cost of the link and of failures.
+        double seconds = 0;
+        /// The same as if the target had the median service time, without failures: comparing these loads targets of
+        /// unequal speeds in proportion to their speeds.
+        double evenSeconds = 0;
+        /// Requests per second that the target can process.
+        double capacity = 0;
+        bool fails = false;
+    };
+
     const Baseline &currentBaseline(TimePoint now, const TargetDirectory &directory, ServiceId service);
     Baseline computeBaseline(TimePoint now, const TargetDirectory &directory, ServiceId service) const;
-    double expectedSeconds(TimePoint now, const StreamTarget &target, const Baseline &baseline) const;
+    Expectation expectation(TimePoint now, const StreamTarget &target, const Baseline &baseline) const;
+    double requestsInProgress(TimePoint now, const State &state, const Baseline &baseline, double slowness) const;
     double failureShare(const LoadReport &load, const Baseline &baseline) const;
     const State *stateOf(TargetId target) const;
 
