--- a/packages/stream/placement.cpp
+++ b/packages/stream/placement.cpp
@@ -30,6 +30,7 @@
 
 Placement::Placement(const PlacementSettings &settings)
     : m_settings(settings)
+    , m_probation(settings.probation)
 {
 }
 
@@ -52,6 +53,7 @@
     state.offered = 0;
     // The estimate is kept even if it is not used, since a reload may switch it on.
     state.estimate.onReport(now, load, load.serviceMicroseconds > 0 ? load.serviceMicroseconds * 1e-6 : seconds(m_settings.assumedServiceTime));
+    m_probation.onLoad(now, target, load);
 }
 
 void Placement::onOffered(TimePoint now, TargetId target)
@@ -59,6 +61,7 @@
     State &state = m_states[target];
     ++state.offered;
     state.estimate.onOffered(now);
+    m_probation.onOffered(now, target);
 }
 
 void Placement::onUnanswered(TimePoint now, TargetId target)
@@ -66,6 +69,7 @@
     State &state = m_states[target];
     state.suspicionDeadline = now + m_settings.suspicionTime;
     state.pingDeadline = now;
+    m_probation.onUnanswered(now, target);
 }
 
 // Decisions
@@ -75,9 +79,11 @@
     // Targets that are closed or do not answer come last, since the state of them may be outdated. The agent of a closed
     // target still forwards the opening, or takes it if no other target is left.
     enum Rank {
+        Trial,
         Drawn,
         DrawnSecond,
         Usable,
+        OnProbation,
         Closed,
         Suspected,
     };
@@ -89,6 +95,9 @@
         TargetId id{};
     };
     const Baseline &baseline = currentBaseline(now, directory, service);
+    const auto isEjected = [this](TargetId target) {
+        return m_settings.balancing.usesProbation && m_probation.isOnProbation(target);
+    };
     std::vector<Choice> choices;
     std::vector<Choice> draining;
     TwoChoices draw;
@@ -101,6 +110,7 @@
         const Expectation expected = expectation(now, entry.target, baseline);
         const Choice choice{isSuspected(now, id) ? Suspected
                             : isClosed           ? Closed
+                            : isEjected(id)      ? OnProbation
                                                  : Usable,
                             expected.seconds,
                             hashPair(flow.hash(), static_cast<quint64>(id)),
@@ -125,6 +135,16 @@
             choice.rank = choice.id == better ? Drawn : choice.id == other ? DrawnSecond : choice.rank;
         }
     }
+    // An opening is the trial of one target at most, so that its further candidates are good ones.
+    Choice *trial = nullptr;
+    for (Choice &choice : choices) {
+        if (choice.rank == OnProbation && m_probation.mayTry(now, choice.id) && (trial == nullptr || choice.hash < trial->hash)) {
+            trial = &choice;
+        }
+    }
+    if (trial != nullptr) {
+        trial->rank = Trial;
+    }
     // The hash spreads flows over equally loaded targets; it is the same for all balancers.
     const std::size_t count = std::min(limit, choices.size());
     std::ranges::partial_sort(choices, choices.begin() + static_cast<std::ptrdiff_t>(count), [](const Choice &a, const Choice &b) {
@@ -183,10 +203,34 @@
     if (now >= baseline.deadline) {
         baseline = computeBaseline(now, directory, service);
         baseline.deadline = now + m_settings.baselineInterval;
+        if (m_settings.balancing.usesProbation) {
+            assessTargets(now, directory, service, baseline);
+        }
     }
     return baseline;
 }
 
+void Placement::assessTargets(TimePoint now, const TargetDirectory &directory, ServiceId service, const Baseline &baseline)
+{
+    std::vector<TargetProbation::Condition> usable;
+    for (const auto &[id, entry] : directory.entries()) {
+        if (entry.target.service != service || !entry.isPresent() || !directory.acceptsFlows(entry) || isSuspected(now, id)) {
+            continue;
+        }
+        TargetProbation::Condition condition{id, 0, 0};
+        const State *state = stateOf(id);
+        if (state != nullptr && now < state->loadDeadline) {
+            if (state->load.isClosed) {
+                continue;
+            }
+            condition.failureShare = failureShare(state->load, baseline);
+            condition.slowness = baseline.serviceSeconds > 0 ? state->load.serviceMicroseconds * 1e-6 / baseline.serviceSeconds : 0;
+        }
+        usable.push_back(condition);
+    }
+    m_probation.assess(now, usable);
+}
+
 Placement::Baseline Placement::computeBaseline(TimePoint now, const TargetDirectory &directory, ServiceId service) const
 {
     std::vector<double> times;
--- a/packages/stream/placement.h
+++ b/packages/stream/placement.h
@@ -5,6 +5,7 @@
 #include "stream/loadreport.h"
 #include "stream/placementsettings.h"
 #include "stream/targetdirectory.h"
+#include "stream/targetprobation.h"
 
 #include <map>
 #include <vector>
@@ -56,6 +57,12 @@
     /// The targets that did not answer and are due for a ping.
     std::vector<TargetId> takeDuePings(TimePoint now);
 
+    /// The targets that were ejected and released since the latest call.
+    std::vector<TargetProbation::Change> takeProbationChanges()
+    {
+        return m_probation.takeChanges();
+    }
+
 private:
     struct State
     {
@@ -98,11 +105,13 @@
     Baseline computeBaseline(TimePoint now, const TargetDirectory &directory, ServiceId service) const;
     Expectation expectation(TimePoint now, const StreamTarget &target, const Baseline &baseline) const;
     double requestsInProgress(TimePoint now, const State &state, const Baseline &baseline, double slowness) const;
+    void assessTargets(TimePoint now, const TargetDirectory &directory, ServiceId service, const Baseline &baseline);
     double failureShare(const LoadReport &load, const Baseline &baseline) const;
     const State *stateOf(TargetId target) const;
 
     PlacementSettings m_settings;
     std::map<TargetId, State> m_states;
+    TargetProbation m_probation;
     std::map<ServiceId, Baseline> m_baselines;
 };
 
