Initialize the balancing settings of placements explicitly

PlacementTest creates PlacementSettings with designated initializers. GCC reports a member of class type without an initializer as missing (-Wmissing-field-initializers), so test_stream did not build since.

The member has an initializer now; test_stream builds.

--- a/packages/stream/placementsettings.h
+++ b/packages/stream/placementsettings.h
@@ -13,7 +13,7 @@
 {
     /// The data centre of this process.
     QString dataCentre;
-    BalancingSettings balancing;
+    BalancingSettings balancing{};
     /// How long a target that did not answer an opening is ranked last; a restarted agent is back within this time.
     Duration suspicionTime = 500ms;
     /// Time between two pings of a target that did not answer.
