Read the objectives of routes and serve them to peers

The agents need the objective of a route to order openings by it. It was neither decoded nor part of what processes serve to each other.

The format of directory images cannot be extended compatibly: earlier versions refuse any other magic number and any additional bytes. A process asks for objectives with objectives=1 in its query, and only then gets the new format; it reads both. Earlier versions ignore the parameter. Routes that came without objectives are replaced once the same version is read with objectives.

--- a/apps/rattanpickd/stream/directoryworker.cpp
+++ b/apps/rattanpickd/stream/directoryworker.cpp
@@ -14,6 +14,8 @@
 constexpr Duration waitLimit = 10s;
 constexpr int okStatus = 200;
 constexpr char afterParameter[] = "after=";
+/// Asks for routes with objectives. Precedes afterParameter, whose number earlier versions read up to the end of the query.
+constexpr char objectivesParameter[] = "objectives=1";
 
 qint64 milliseconds(Duration duration)
 {
@@ -68,7 +70,8 @@
     const qsizetype begin = query.indexOf(afterParameter);
     const quint64 after = begin < 0 ? 0 : query.mid(begin + static_cast<qsizetype>(sizeof(afterParameter)) - 1).toULongLong();
     const std::scoped_lock lock(m_imageMutex);
-    return m_image.revision() > 0 ? encodeDirectoryBatch(Clock::now(), m_image.since(after)) : QByteArray();
+    const DirectoryFormat format = query.contains(objectivesParameter) ? DirectoryFormat::WithObjectives : DirectoryFormat::WithoutObjectives;
+    return m_image.revision() > 0 ? encodeDirectoryBatch(Clock::now(), m_image.since(after), format) : QByteArray();
 }
 
 SourceAnswer DirectoryWorker::callSource(const SourceCall &call)
@@ -83,7 +86,7 @@
 void DirectoryWorker::pull(const SourceCall &call)
 {
     m_context.metrics.counter(QStringLiteral("directory.pulls")).add();
-    const QByteArray path = QByteArray(directoryPath) + '?' + afterParameter + QByteArray::number(call.afterRevision);
+    const QByteArray path = QByteArray(directoryPath) + '?' + objectivesParameter + '&' + afterParameter + QByteArray::number(call.afterRevision);
     const std::optional<HttpReply> answer = m_peers.get(call.peer, path, call.deadline);
     std::optional<DirectoryBatch> batch;
     if (answer && answer->status == okStatus) {
--- a/packages/stream/directoryimage.cpp
+++ b/packages/stream/directoryimage.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t removalLimit = 4096;
 /// Limits the memory that a malformed batch can claim; the design size is about 20,000 targets and 2,000 routes.
 constexpr quint32 maximumCount = 1'000'000;
-/// Identifies the format and its version.
-constexpr quint32 batchMagic = 0x52504402;
 
 /// Stands for the start of a target that did not tell it.
 constexpr qint64 unknownStart = -1;
@@ -40,15 +38,18 @@
     return std::max<qint64>(0, std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count());
 }
 
-void writeRoutes(QDataStream &stream, const RouteTable &table)
+void writeRoutes(QDataStream &stream, const RouteTable &table, DirectoryFormat format)
 {
     stream << table.version() << static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(table.idleTimeout()).count());
     const std::vector<Route> routes = table.routes();
     stream << static_cast<quint32>(routes.size());
     for (const Route &route : routes) {
         stream << route.address << static_cast<qint32>(route.priority)
-               << static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(route.timeout).count())
-               << static_cast<quint32>(route.shares.size());
+               << static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(route.timeout).count());
+        if (format == DirectoryFormat::WithObjectives) {
+            stream << static_cast<qint64>(std::chrono::duration_cast<std::chrono::milliseconds>(route.objective).count());
+        }
+        stream << static_cast<quint32>(route.shares.size());
         for (const ServiceShare &share : route.shares) {
             stream << share.service << share.weight;
         }
@@ -69,7 +70,7 @@
     return stream.status() == QDataStream::Ok ? count : 0;
 }
 
-RouteTablePointer readRoutes(QDataStream &stream)
+RouteTablePointer readRoutes(QDataStream &stream, DirectoryFormat format)
 {
     quint64 version = 0;
     qint64 idleMilliseconds = 0;
@@ -82,6 +83,11 @@
         stream >> route.address >> priority >> timeoutMilliseconds;
         route.priority = priority;
         route.timeout = std::chrono::milliseconds(timeoutMilliseconds);
+        if (format == DirectoryFormat::WithObjectives) {
+            qint64 objectiveMilliseconds = 0;
+            stream >> objectiveMilliseconds;
+            route.objective = std::chrono::milliseconds(objectiveMilliseconds);
+        }
         for (quint32 shares = readCount(stream); shares > 0 && stream.status() == QDataStream::Ok; --shares) {
             ServiceShare share;
             stream >> share.service >> share.weight;
@@ -105,7 +111,7 @@
     return std::make_shared<const RouteTable>(version, std::move(routes), std::move(services), std::chrono::milliseconds(idleMilliseconds));
 }
 
-void writeChange(QDataStream &stream, TimePoint now, const DirectoryChange &change)
+void writeChange(QDataStream &stream, TimePoint now, const DirectoryChange &change, DirectoryFormat format)
 {
     if (const auto *listed = std::get_if<TargetListed>(&change)) {
         const StreamTarget &target = listed->target;
@@ -118,13 +124,13 @@
         stream << ChangeTag::Switched << switched->revision << switched->name << switched->isOut;
     } else if (const auto *published = std::get_if<RoutesPublished>(&change)) {
         stream << ChangeTag::Routes << published->revision;
-        writeRoutes(stream, *published->routes);
+        writeRoutes(stream, *published->routes, format);
     } else if (const auto *completed = std::get_if<FullReadCompleted>(&change)) {
         stream << ChangeTag::Completed << completed->revision << completed->targets << completed->dataCentresOut;
     }
 }
 
-std::optional<DirectoryChange> readChange(QDataStream &stream, TimePoint now)
+std::optional<DirectoryChange> readChange(QDataStream &stream, TimePoint now, DirectoryFormat format)
 {
     ChangeTag tag{};
     quint64 revision = 0;
@@ -154,7 +160,7 @@
         return switched;
     }
     case ChangeTag::Routes: {
-        RouteTablePointer routes = readRoutes(stream);
+        RouteTablePointer routes = readRoutes(stream, format);
         return routes != nullptr ? std::optional<DirectoryChange>(RoutesPublished{revision, std::move(routes)}) : std::nullopt;
     }
     case ChangeTag::Completed: {
@@ -252,15 +258,15 @@
     std::erase_if(m_items, [this](const auto &entry) { return isRemoval(entry.second.change) && entry.second.revision <= m_compactedRevision; });
 }
 
-QByteArray encodeDirectoryBatch(TimePoint now, const DirectoryBatch &batch)
+QByteArray encodeDirectoryBatch(TimePoint now, const DirectoryBatch &batch, DirectoryFormat format)
 {
     QByteArray bytes;
     QDataStream stream(&bytes, QIODevice::WriteOnly);
     stream.setVersion(wireVersion);
-    stream << batchMagic << batch.revision << static_cast<quint32>(batch.changes.size());
+    stream << format << batch.revision << static_cast<quint32>(batch.changes.size());
     for (const DirectoryChange &change : batch.changes) {
         RP_ASSERT(!std::holds_alternative<SourceSwitched>(change));
-        writeChange(stream, now, change);
+        writeChange(stream, now, change, format);
     }
     return bytes;
 }
@@ -270,12 +276,12 @@
     const QByteArray raw = QByteArray::fromRawData(bytes.data(), bytes.size());
     QDataStream stream(raw);
     stream.setVersion(wireVersion);
-    quint32 magic = 0;
+    DirectoryFormat format{};
     DirectoryBatch batch;
-    stream >> magic >> batch.revision;
-    requireWire(stream, magic == batchMagic);
+    stream >> format >> batch.revision;
+    requireWire(stream, format == DirectoryFormat::WithoutObjectives || format == DirectoryFormat::WithObjectives);
     for (quint32 left = readCount(stream); left > 0; --left) {
-        std::optional<DirectoryChange> change = readChange(stream, now);
+        std::optional<DirectoryChange> change = readChange(stream, now, format);
         if (!change || stream.status() != QDataStream::Ok) {
             return std::nullopt;
         }
--- a/packages/stream/directoryimage.h
+++ b/packages/stream/directoryimage.h
@@ -58,10 +58,17 @@
     quint64 m_compactedRevision = 0;
 };
 
+/// The formats of an encoded batch, by the number that it begins with.
+enum class DirectoryFormat : quint32 {
+    /// Routes have no objectives. Processes that do not ask for another format read only this one.
+    WithoutObjectives = 0x52504402,
+    WithObjectives = 0x52504403,
+};
+
 /// Encodes a batch. Points in time are sent as the time that remains of them at @p now.
-QByteArray encodeDirectoryBatch(TimePoint now, const DirectoryBatch &batch);
+QByteArray encodeDirectoryBatch(TimePoint now, const DirectoryBatch &batch, DirectoryFormat format = DirectoryFormat::WithObjectives);
 
-/// Decodes a batch; nothing if it is malformed, truncated or too long.
+/// Decodes a batch of any format; nothing if it is malformed, truncated or too long. Objectives that it does not have are unknown.
 std::optional<DirectoryBatch> decodeDirectoryBatch(TimePoint now, QByteArrayView bytes);
 
 }
--- a/packages/stream/routetable.cpp
+++ b/packages/stream/routetable.cpp
@@ -36,6 +36,22 @@
     return found != m_services.end() ? &found->second : nullptr;
 }
 
+bool RouteTable::addsObjectivesTo(const RouteTable &other) const
+{
+    if (m_version != other.m_version || m_routes.size() != other.m_routes.size()) {
+        return false;
+    }
+    bool hasAdded = false;
+    for (const auto &[address, route] : m_routes) {
+        const Route *counterpart = other.findRoute(address);
+        if (counterpart == nullptr || counterpart->shares != route.shares || counterpart->objective > Duration::zero()) {
+            return false;
+        }
+        hasAdded = hasAdded || route.objective > Duration::zero();
+    }
+    return hasAdded;
+}
+
 std::vector<Route> RouteTable::routes() const
 {
     std::vector<Route> routes;
--- a/packages/stream/routetable.h
+++ b/packages/stream/routetable.h
@@ -60,6 +60,9 @@
     /// All services, ordered by identifier.
     std::vector<StreamService> services() const;
 
+    /// Whether this table has the routes of @p other, with objectives that @p other does not have.
+    bool addsObjectivesTo(const RouteTable &other) const;
+
     bool operator==(const RouteTable &) const = default;
 
 private:
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -140,6 +140,12 @@
         m_routeHistory.onRoutes(now, change.routes.get(), *m_routes);
         return;
     }
+    // Peers of an earlier version serve the routes of a configuration without their objectives.
+    if (m_routes != nullptr && change.routes->addsObjectivesTo(*m_routes)) {
+        m_routes = change.routes;
+        ++m_generation;
+        return;
+    }
     if (m_routes == nullptr || change.routes->version() > m_routes->version()) {
         m_routeHistory.onRoutes(now, m_routes.get(), *change.routes);
         m_routes = change.routes;
--- a/tests/platform/storedecodertest.cpp
+++ b/tests/platform/storedecodertest.cpp
@@ -136,6 +136,7 @@
     EXPECT_EQ(split->shares, (std::vector<ServiceShare>{{serviceIdOf("huvo11a"), 90}, {serviceIdOf("wuno96b"), 10}}));
     EXPECT_EQ(split->priority, 2);
     EXPECT_EQ(split->timeout, 500ms);
+    EXPECT_EQ(split->objective, 100ms);
     EXPECT_TRUE(table.allows({0xc6120002, 80}, serviceIdOf("wuno96b")));
     EXPECT_FALSE(table.allows({0xc6120002, 80}, serviceIdOf("huvo11a")));
     EXPECT_EQ(table.findService(serviceIdOf("huvo11a"))->coldRequestsPerSecond, 4.5);
@@ -170,6 +171,18 @@
     }
 }
 
+// Guards against an odd objective that makes the configuration invalid or overflows.
+TEST(StoreDecoderTest, OddObjectivesAreUnknownOrLimited)
+{
+    StoreDecoder decoder;
+    for (const auto &[json, objective] : {std::pair{"\"100\"", 0h}, {"true", 0h}, {"null", 0h}, {"[100]", 0h}, {"-5", 0h}, {"1e300", 1h}}) {
+        const QByteArray text = R"({"version":7,"routes":[{"hostname":"198.18.0.1","prefix":"/80/","service":"a","objective-ms":%}]})";
+        const auto changes = decode(decoder, item(QStringLiteral("op/config"), QByteArray(text).replace('%', json)));
+        ASSERT_EQ(changes.size(), 1) << json;
+        EXPECT_EQ(std::get<RoutesPublished>(changes.front()).routes->findRoute({0xc6120001, 80})->objective, objective) << json;
+    }
+}
+
 // Guards against the refusal of what the operators may write: a service that has no target yet, and one that gets no flows.
 TEST(StoreDecoderTest, RoutesToServicesWithoutTargetsAreAccepted)
 {
--- a/tests/stream/directoryimagetest.cpp
+++ b/tests/stream/directoryimagetest.cpp
@@ -120,3 +120,17 @@
     const qsizetype length = *rc::gen::inRange<qsizetype>(0, bytes.size());
     RC_ASSERT(!decodeDirectoryBatch(start, QByteArrayView(bytes).first(length)).has_value());
 }
+
+// Guards against images that processes of the earlier version cannot read, and against routes that stay without objectives.
+TEST(DirectoryImageTest, ObjectivesAreSentToThoseWhoAskAndTakenOverLater)
+{
+    const auto table = std::make_shared<const RouteTable>(1, std::vector<Route>{{route, {{service, 1}}, 2, 500ms, 200ms}}, std::vector<StreamService>{}, 15s);
+    TargetDirectory directory({.agentPort = agentPort});
+    // The earlier format is read first and last: it neither prevents objectives nor removes them.
+    for (const auto &[magic, objective] : {std::pair{0x52504402U, 0ms}, std::pair{0x52504403U, 200ms}, std::pair{0x52504402U, 200ms}}) {
+        const QByteArray bytes = encodeDirectoryBatch(start, {7, {RoutesPublished{7, table}}, false}, DirectoryFormat{magic});
+        directory.apply(start, decodeDirectoryBatch(start, bytes).value().changes.front());
+        EXPECT_EQ(directory.routes()->findRoute(route)->objective, objective);
+        EXPECT_EQ(directory.routes()->findRoute(route)->timeout, 500ms);
+    }
+}
