Read the section [balancing] and apply it by reload

The settings for uneven and scarce load existed without a way to set them.

Both roles read the optional section with its four keys. Wrong values, and a minimum share without objective-order, are findings. The values apply at the start and at a reload, which passes them to the packet thread by a bounded ring. Events 101 and 108 name the values in force.

--- a/apps/rattanpickd/stream/settingsworker.cpp
+++ b/apps/rattanpickd/stream/settingsworker.cpp
@@ -50,9 +50,12 @@
     setLogLevel(reloaded->settings.logLevel);
     m_context.seeds.push(std::make_shared<const QList<Endpoint>>(reloaded->settings.seeds));
     m_context.directoryWakeup.notify();
+    m_context.balancing.push(reloaded->settings.balancing);
+    m_context.packetWakeup.notify();
     m_context.log.record(
         EventNumber::SettingsReloaded,
-        QStringLiteral("taken=%1 at-next-start=%2").arg(reloaded->applied.join(QLatin1Char(',')), reloaded->pendingRestart.join(QLatin1Char(','))));
+        QStringLiteral("taken=%1 at-next-start=%2 %3")
+            .arg(reloaded->applied.join(QLatin1Char(',')), reloaded->pendingRestart.join(QLatin1Char(',')), reloaded->settings.balancing.toString()));
 }
 
 }
--- a/apps/rattanpickd/stream/streamcontext.h
+++ b/apps/rattanpickd/stream/streamcontext.h
@@ -71,6 +71,8 @@
     BoundedRing<Endpoint> updateSources{changeRingSize};
     /// Seeds of changed settings, from the settings worker to the directory worker.
     BoundedRing<std::shared_ptr<const QList<Endpoint>>> seeds{changeRingSize};
+    /// Changed settings for uneven and scarce load, from the settings worker to the stream worker.
+    BoundedRing<BalancingSettings> balancing{changeRingSize};
     /// Requests that the verification worker asks the source for its revision.
     std::atomic<bool> isVerificationRequested = false;
     /// Set to end all workers.
--- a/apps/rattanpickd/stream/streamdaemon.cpp
+++ b/apps/rattanpickd/stream/streamdaemon.cpp
@@ -153,7 +153,8 @@
     if (!server.start()) {
         return fail(server.lastError());
     }
-    context.log.record(EventNumber::ProcessStarted, options.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent"));
+    const QString roleName = options.role == DaemonRole::Balancer ? QStringLiteral("balancer") : QStringLiteral("agent");
+    context.log.record(EventNumber::ProcessStarted, roleName + QLatin1Char(' ') + settings->balancing.toString());
     std::thread directoryThread([&directory] { directory.run(); });
 
     VerificationWorker verification(context);
--- a/apps/rattanpickd/stream/streamworker.cpp
+++ b/apps/rattanpickd/stream/streamworker.cpp
@@ -49,6 +49,7 @@
         balancer.endpoint = settings.messages;
         balancer.directory = directory;
         balancer.placement.dataCentre = settings.dataCentre;
+        balancer.placement.balancing = settings.balancing;
         return std::make_unique<StreamBalancer>(balancer, format);
     }
     StreamAgentSettings agent;
@@ -60,6 +61,7 @@
     agent.directory = directory;
     agent.coldFactor = settings.coldFactor;
     agent.coldSlack = settings.coldSlack;
+    agent.balancing = settings.balancing;
     if (adjustAgent != nullptr) {
         adjustAgent(agent);
     }
@@ -136,6 +138,9 @@
         hasMessages = false;
         hasPackets = false;
     }
+    while (const std::optional<BalancingSettings> balancing = m_context.balancing.pop()) {
+        m_decisions->onSettings(*balancing);
+    }
     applyChanges(now);
     if (m_context.isStopping && !m_isStopNoticed) {
         m_isStopNoticed = true;
--- a/packages/stream/balancingsettings.h
+++ b/packages/stream/balancingsettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <QString>
+
 namespace Rattanpick
 {
 
@@ -15,6 +17,17 @@
     /// Share of the released openings that less urgent priorities get while they wait, in percent; 0 is strict priority.
     int minimumSharePercent = 0;
 
+    /// The settings by their names in the settings file, for log lines.
+    QString toString() const
+    {
+        const auto textOf = [](bool isOn) {
+            return isOn ? QStringLiteral("true") : QStringLiteral("false");
+        };
+        return QStringLiteral("two-choices=%1 probation=%2 objective-order=%3 minimum-share-percent=%4")
+            .arg(textOf(usesTwoChoices), textOf(usesProbation), textOf(ordersByObjective))
+            .arg(minimumSharePercent);
+    }
+
     bool operator==(const BalancingSettings &) const = default;
 };
 
--- a/packages/stream/settingsreload.cpp
+++ b/packages/stream/settingsreload.cpp
@@ -35,6 +35,7 @@
     };
     applyIfChanged("log-level", &StreamProcessSettings::logLevel);
     applyIfChanged("seeds", &StreamProcessSettings::seeds);
+    applyIfChanged("balancing", &StreamProcessSettings::balancing);
     const auto deferIfChanged = [&reloaded, &offered](const char *name, auto member) {
         if (reloaded.settings.*member != (*offered).*member) {
             reloaded.pendingRestart.append(QLatin1String(name));
--- a/packages/stream/streamprocesssettingsreader.cpp
+++ b/packages/stream/streamprocesssettingsreader.cpp
@@ -15,6 +15,8 @@
 constexpr qint64 maximumFlowAgeSeconds = qint64{7} * 24 * 3600;
 constexpr double maximumColdFactor = 100;
 constexpr double maximumColdSlack = 1e6;
+/// With more, less urgent priorities would get the larger part.
+constexpr qint64 maximumMinimumSharePercent = 50;
 
 void readProcess(SectionReader &values, StreamProcessSettings &settings)
 {
@@ -76,20 +78,39 @@
     settings.coldSlack = values.decimal(QStringLiteral("cold-slack"), 0, maximumColdSlack, settings.coldSlack);
 }
 
+void readBalancing(SectionReader &values, StreamProcessSettings &settings)
+{
+    const auto readSwitch = [&values](const QString &key) {
+        return values.choice(key, {QStringLiteral("false"), QStringLiteral("true")}, 0) == 1;
+    };
+    BalancingSettings &balancing = settings.balancing;
+    balancing.usesTwoChoices = readSwitch(QStringLiteral("two-choices"));
+    balancing.usesProbation = readSwitch(QStringLiteral("probation"));
+    balancing.ordersByObjective = readSwitch(QStringLiteral("objective-order"));
+    const QString shareKey = QStringLiteral("minimum-share-percent");
+    balancing.minimumSharePercent = static_cast<int>(values.number(shareKey, 0, maximumMinimumSharePercent, 0));
+    if (balancing.minimumSharePercent > 0 && !balancing.ordersByObjective) {
+        values.report(
+            shareKey, QStringLiteral("\"%1\" has no effect without \"objective-order = true\"").arg(shareKey), QStringLiteral("0, or objective-order = true"));
+    }
+}
+
 struct SectionRule
 {
     const char *title;
     void (*read)(SectionReader &values, StreamProcessSettings &settings);
     bool isForAgentsOnly;
+    bool isOptional;
 };
 
 // [process] comes first, since the role determines the keys of the other sections.
 constexpr std::array sectionRules{
-    SectionRule{"process", readProcess, false},
-    SectionRule{"listen", readListen, false},
-    SectionRule{"directory", readDirectory, false},
-    SectionRule{"flows", readFlows, false},
-    SectionRule{"target", readTarget, true},
+    SectionRule{"process", readProcess, false, false},
+    SectionRule{"listen", readListen, false, false},
+    SectionRule{"directory", readDirectory, false, false},
+    SectionRule{"flows", readFlows, false, false},
+    SectionRule{"target", readTarget, true, false},
+    SectionRule{"balancing", readBalancing, false, true},
 };
 
 }
@@ -114,7 +135,9 @@
         titles.append(QLatin1Char('[') + title + QLatin1Char(']'));
         const auto section = std::ranges::find_if(sections, [&title](const IniSection &candidate) { return candidate.heading.title() == title; });
         if (section == sections.end()) {
-            m_findings.append({{m_file, 0, title}, QStringLiteral("section is missing"), titles.last()});
+            if (!rule.isOptional) {
+                m_findings.append({{m_file, 0, title}, QStringLiteral("section is missing"), titles.last()});
+            }
             continue;
         }
         SectionReader values(*section, m_file, m_findings);
--- a/tests/stream/streamprocesssettingsreadertest.cpp
+++ b/tests/stream/streamprocesssettingsreadertest.cpp
@@ -84,6 +84,24 @@
     EXPECT_EQ(reader.findings().first().location.line, 7);
 }
 
+// Guards against a missing section or key that changes decisions, and against a wrong value that is ignored or reported at another place.
+TEST(StreamProcessSettingsReaderTest, BalancingIsOffUnlessSetAndIsChecked)
+{
+    StreamProcessSettingsReader reader(QStringLiteral("agent.ini"));
+    const QByteArray text = agentText + "[balancing]\n";
+    EXPECT_EQ(reader.read(agentText).value().balancing, BalancingSettings{});
+    EXPECT_EQ(reader.read(text + "two-choices = true\n").value().balancing, (BalancingSettings{true, false, false, 0}));
+    EXPECT_EQ(reader.read(text + "probation = true\n").value().balancing, (BalancingSettings{false, true, false, 0}));
+    EXPECT_EQ(reader.read(text + "objective-order = true\nminimum-share-percent = 50").value().balancing, (BalancingSettings{false, false, true, 50}));
+    // The share is also a finding if it has no effect.
+    for (const char *line : {"two-choices = yes", "probation = 1", "objective-order =", "minimum-share-percent = 51", "minimum-share-percent = 10"}) {
+        EXPECT_FALSE(reader.read(text + line)) << line;
+        ASSERT_EQ(reader.findings().size(), 1) << line;
+        EXPECT_EQ(reader.findings().first().location.line, text.count('\n') + 1) << line;
+        EXPECT_FALSE(reader.findings().first().allowed.isEmpty()) << line;
+    }
+}
+
 // Guards against a reader that stops at the first error, or that reports no location.
 TEST(StreamProcessSettingsReaderTest, ReportsEveryFaultWithItsPlace)
 {
@@ -143,3 +161,14 @@
     EXPECT_EQ(reloaded->settings.messages.port, 7720);
     EXPECT_EQ(reloaded->settings.seeds.last().address, 0x0a020029);
 }
+
+// Guards against a reload that defers the decisions to the next start, and against a file with findings that switches them off.
+TEST(SettingsReloadTest, AppliesBalancingAtOnce)
+{
+    SettingsReload reload(QStringLiteral("agent.ini"), *StreamProcessSettingsReader({}).read(agentText), agentText);
+    const QByteArray on = agentText + "[balancing]\nprobation = true\n";
+    EXPECT_EQ(reload.offer(on).value().applied, QStringList{QStringLiteral("balancing")});
+    EXPECT_FALSE(reload.offer(agentText + "[balancing]\nprobation = maybe\n"));
+    EXPECT_TRUE(reload.offer(on + '\n').value().settings.balancing.usesProbation);
+    EXPECT_FALSE(reload.offer(agentText).value().settings.balancing.usesProbation);
+}
