Make the test of two choices readable for the linter

The linter's front end rejects a view over the agents of the simulation and a captured structured binding.

--- a/tests/stream/twochoicestest.cpp
+++ b/tests/stream/twochoicestest.cpp
@@ -8,7 +8,6 @@
 
 #include <functional>
 #include <random>
-#include <ranges>
 
 using namespace Rattanpick;
 using namespace StreamTestData;
@@ -31,12 +30,13 @@
 
 TargetDirectory directory()
 {
-    std::vector<StreamTarget> targets;
+    std::vector<StreamTarget> list;
+    list.reserve(targetCount);
     for (int index = 0; index < targetCount; ++index) {
-        targets.push_back(target(index));
+        list.push_back(target(index));
     }
     TargetDirectory directory({.agentPort = agentPort});
-    for (const DirectoryChange &change : reading(targets)) {
+    for (const DirectoryChange &change : reading(list)) {
         directory.apply(start, change);
     }
     return directory;
@@ -47,9 +47,9 @@
 {
     struct Agent
     {
-        LoadReport load(TimePoint now) const
+        LoadReport load(TimePoint time) const
         {
-            LoadReport load = meter.report(now);
+            LoadReport load = meter.report(time);
             load.flows = load.requestsInProgress;
             return load;
         }
@@ -79,7 +79,7 @@
         }
         for (const auto &[id, agent] : agents) {
             const double relativeUse = agent.served / agent.speed * capacity * serviceSeconds / 2 / opened;
-            const auto sameSpeed = std::ranges::count(agents | std::views::values, agent.speed, &Agent::speed);
+            const auto sameSpeed = std::ranges::count_if(agents, [speed = agent.speed](const auto &item) { return item.second.speed == speed; });
             useBySpeed[agent.speed] += relativeUse / static_cast<double>(sameSpeed);
             busiest = std::max(busiest, relativeUse);
         }
