--- a/packages/stream/placement.cpp
+++ b/packages/stream/placement.cpp
@@ -112,8 +112,8 @@
         }
         const State *state = stateOf(id);
         const bool isClosed = state != nullptr && state->load.isClosed && now < state->loadDeadline;
-        const Expectation expected = expectation(now, entry.target, baseline);
-        const Choice choice{isSuspected(now, id) ? Suspected
+        const Expectation expected = expectation(now, entry.target, state, baseline);
+        const Choice choice{isSuspected(now, state) ? Suspected
                             : isClosed           ? Closed
                             : isEjected(id)      ? OnProbation
                                                  : Usable,
@@ -141,14 +141,20 @@
         }
     }
     // An opening is the trial of one target at most, so that its further candidates are good ones.
-    Choice *trial = nullptr;
-    for (Choice &choice : choices) {
-        if (choice.rank == OnProbation && m_probation.mayTry(now, choice.id) && (trial == nullptr || choice.hash < trial->hash)) {
-            trial = &choice;
+    if (m_settings.balancing.usesProbation) {
+        TrialBudget &budget = m_trialBudgets[service];
+        budget.openings = std::min(budget.openings + 1, m_settings.probation.openingsPerTrial);
+        const bool isTrialAllowed = budget.openings >= m_settings.probation.openingsPerTrial || now >= budget.deadline;
+        Choice *trial = nullptr;
+        for (Choice &choice : choices) {
+            if (isTrialAllowed && choice.rank == OnProbation && m_probation.mayTry(now, choice.id) && (trial == nullptr || choice.hash < trial->hash)) {
+                trial = &choice;
+            }
+        }
+        if (trial != nullptr) {
+            trial->rank = Trial;
+            budget = {0, now + m_settings.probation.trialIntervalLimit};
         }
-    }
-    if (trial != nullptr) {
-        trial->rank = Trial;
     }
     // The hash spreads flows over equally loaded targets; it is the same for all balancers.
     const std::size_t count = std::min(limit, choices.size());
@@ -179,7 +185,11 @@
 
 bool Placement::isSuspected(TimePoint now, TargetId target) const
 {
-    const State *state = stateOf(target);
+    return isSuspected(now, stateOf(target));
+}
+
+bool Placement::isSuspected(TimePoint now, const State *state)
+{
     return state != nullptr && (now < state->suspicionDeadline || state->pingDeadline != TimePoint::max());
 }
 
@@ -268,9 +278,8 @@
     return baseline;
 }
 
-Placement::Expectation Placement::expectation(TimePoint now, const StreamTarget &target, const Baseline &baseline) const
+Placement::Expectation Placement::expectation(TimePoint now, const StreamTarget &target, const State *state, const Baseline &baseline) const
 {
-    const State *state = stateOf(target.id);
     const double typical = baseline.serviceSeconds > 0 ? baseline.serviceSeconds : seconds(m_settings.assumedServiceTime);
     double service = typical;
     double failure = 0;
@@ -278,6 +287,9 @@
         if (state->load.serviceMicroseconds > 0) {
             service = std::max(state->load.serviceMicroseconds * 1e-6, baseline.serviceSeconds * m_settings.minimumServiceTimeShare);
         }
+        if (m_settings.balancing.usesProbation && baseline.serviceSeconds > 0 && m_probation.isSlownessExcused(now, target.id)) {
+            service = std::min(service, baseline.serviceSeconds);
+        }
         failure = failureShare(state->load, baseline);
     }
     const double inProgress = state != nullptr ? requestsInProgress(now, *state, baseline, service / typical) : 0;
--- a/packages/stream/placement.h
+++ b/packages/stream/placement.h
@@ -103,9 +103,18 @@
         bool fails = false;
     };
 
+    /// Limits the trials among the openings of a service.
+    struct TrialBudget
+    {
+        /// Openings since the latest trial.
+        int openings = 0;
+        TimePoint deadline{};
+    };
+
     const Baseline &currentBaseline(TimePoint now, const TargetDirectory &directory, ServiceId service);
     Baseline computeBaseline(TimePoint now, const TargetDirectory &directory, ServiceId service) const;
-    Expectation expectation(TimePoint now, const StreamTarget &target, const Baseline &baseline) const;
+    static bool isSuspected(TimePoint now, const State *state);
+    Expectation expectation(TimePoint now, const StreamTarget &target, const State *state, const Baseline &baseline) const;
     double requestsInProgress(TimePoint now, const State &state, const Baseline &baseline, double slowness) const;
     void assessTargets(TimePoint now, const TargetDirectory &directory, ServiceId service, const Baseline &baseline);
     double failureShare(const LoadReport &load, const Baseline &baseline) const;
@@ -115,6 +124,7 @@
     std::map<TargetId, State> m_states;
     TargetProbation m_probation;
     std::map<ServiceId, Baseline> m_baselines;
+    std::map<ServiceId, TrialBudget> m_trialBudgets;
 };
 
 }
