Read the answers that have arrived before repeating offers

Its log shows answers that are processed long after they were sent.

Cause: each message ran all that was due. In a batch of messages that had waited in the socket, the first one judged the deadlines of offers whose answers came next. It also walked through all entries of the directory for each message. Ruled out: dead targets, since no other balancer missed answers.

Change: a message only removes the offers that it answers; deadlines are judged in onTick(), which the worker runs after the batch.

--- a/packages/stream/placement.cpp
+++ b/packages/stream/placement.cpp
@@ -114,9 +114,9 @@
         const bool isClosed = state != nullptr && state->load.isClosed && now < state->loadDeadline;
         const Expectation expected = expectation(now, entry.target, state, baseline);
         const Choice choice{isSuspected(now, state) ? Suspected
-                            : isClosed           ? Closed
-                            : isEjected(id)      ? OnProbation
-                                                 : Usable,
+                            : isClosed              ? Closed
+                            : isEjected(id)         ? OnProbation
+                                                    : Usable,
                             expected.seconds,
                             hashPair(flow.hash(), static_cast<quint64>(id)),
                             id};
--- a/packages/stream/streambalancer.cpp
+++ b/packages/stream/streambalancer.cpp
@@ -110,7 +110,20 @@
         // The other kinds are for agents.
         break;
     }
-    onTick(now, actions);
+    dropAnsweredOffers();
+}
+
+void StreamBalancer::dropAnsweredOffers()
+{
+    // They would cause a wake-up. Deadlines are judged by onTick() only: further answers may have been received already that are
+    // still to be processed, and a balancer that is short of processor time would offer each of these openings again.
+    while (!m_offers.empty()) {
+        const auto found = m_flows.find(m_offers.front().second);
+        if (found != m_flows.end() && (!found->second.isHeld || found->second.suspectAcknowledgement)) {
+            return;
+        }
+        m_offers.pop_front();
+    }
 }
 
 void StreamBalancer::onTick(TimePoint now, StreamActions &actions)
--- a/packages/stream/streambalancer.h
+++ b/packages/stream/streambalancer.h
@@ -115,6 +115,8 @@
     StreamMessage messageTo(StreamMessageKind kind, const TargetDirectory::Entry &entry) const;
     StreamMessage messageAbout(const Flow &flow, StreamMessageKind kind) const;
     void recordActivity(TimePoint now, const FlowKey &key, Flow &flow);
+    /// Removes the next offers as far as they were answered.
+    void dropAnsweredOffers();
     void removeExpired(TimePoint now);
 
     StreamBalancerSettings m_settings;
--- a/tests/stream/streambalancertest.cpp
+++ b/tests/stream/streambalancertest.cpp
@@ -152,6 +152,29 @@
     EXPECT_EQ(pings.front().to, first.front().to);
 }
 
+// Load: a small balancer after a loss of power, whose answers wait in its socket for longer than the time limit of an offer. Guards
+// against offers that are repeated although their answers have been received, which makes it slower still.
+TEST_F(StreamBalancerTest, AnswersThatWaitedInTheSocketAreReadBeforeOffersAreRepeated)
+{
+    const auto offers = messages(packet(start, callerSegment(SynFlag)), StreamMessageKind::Opening);
+    ASSERT_EQ(offers.size(), 1);
+    StreamMessage load;
+    load.kind = StreamMessageKind::Load;
+    load.sender = agentAddress(3);
+    load.target = target(3).id;
+    StreamMessage held = load;
+    held.kind = StreamMessageKind::Held;
+    held.sender = offers.front().to;
+    held.target = offers.front().message.target;
+    held.flow = flow;
+    StreamActions actions;
+    m_balancer.onMessage(start + 80ms, load, actions);
+    m_balancer.onMessage(start + 80ms, held, actions);
+    m_balancer.onTick(start + 80ms, actions);
+    EXPECT_TRUE(messages(actions, StreamMessageKind::Opening).empty());
+    EXPECT_TRUE(messages(actions, StreamMessageKind::Ping).empty());
+}
+
 // Guards against a segment that only one of several targets tried can match: the message names all of them.
 TEST_F(StreamBalancerTest, UnansweredOpeningsNameEveryTargetTried)
 {
