Play the end of load reports after 3 s in the test of probation

Cause: an agent reports its load only to balancers that have sent it something within 3 s; the test reported to all.

Change: the test plays that rule. A balancer with few openings begins one trial in 12 s instead of 4 s.

All tests were not run again, only those of probation.

--- a/packages/stream/placement.cpp
+++ b/packages/stream/placement.cpp
@@ -128,7 +128,7 @@
         if (trial != nullptr) {
             trial->rank = Usable;
             trial->cost = 0;
-            budget = {0, now + m_settings.probation.trialIntervalLimit};
+            budget = {0, now + m_settings.probation.trialBudgetTime};
         }
     }
     // The hash spreads flows over equally loaded targets; it is the same for all balancers.
--- a/packages/stream/targetprobationsettings.h
+++ b/packages/stream/targetprobationsettings.h
@@ -28,9 +28,10 @@
     /// Time between two trials at first; doubled after each bad trial.
     Duration trialInterval = 250ms;
     Duration trialIntervalLimit = 4s;
-    /// A balancer begins at most one trial in this many openings of a service, or one in trialIntervalLimit if that is more. Trials
-    /// of 25 balancers at bare intervals were 3.8% of the openings of 42 targets.
+    /// A balancer begins at most one trial in this many openings of a service, or one in this time if that is more. Trials of 25
+    /// balancers at bare intervals were 3.8% of the openings of 42 targets.
     int openingsPerTrial = 128;
+    Duration trialBudgetTime = 12s;
     /// How long a trial runs before a load report can show its result; the report that confirms the opening comes before it.
     Duration trialTime = 250ms;
     /// A trial without a load report is given up after this time.
--- a/tests/stream/targetprobationtest.cpp
+++ b/tests/stream/targetprobationtest.cpp
@@ -96,6 +96,7 @@
         AnswerMeter answers;
         std::multimap<TimePoint, TimePoint> ends;
         std::array<TimePoint, 2> slots{};
+        std::map<const Placement *, TimePoint> seen;
     };
 
     LoadReport report(const Target &target) const
@@ -123,6 +124,10 @@
             }
             if ((m_now - start) / 1ms % 1000 == static_cast<qint64>(index * 37 % 1000)) {
                 for (Placement &placement : m_placements) {
+                    // An agent reports to the balancers that have sent it something within 3 s.
+                    if (m_now >= target.seen[&placement] + 3s) {
+                        continue;
+                    }
                     placement.onAgentMessage(m_now, id);
                     placement.onLoad(m_now, id, report(target));
                 }
@@ -133,6 +138,7 @@
     bool offer(Placement &placement, TargetId id)
     {
         Target &target = m_targets[m_indices[id]];
+        target.seen[&placement] = m_now;
         if (target.isClosed) {
             return false;
         }
