Read the control file of the platform stand-in under its lock

Seen: PlatformClientTest.ControlFileMakesFaults failed once, in one of two runs of the whole check on beside load (sanitizer build, 'client.document(0)' answered although the caller is cut off); the other run passed it. Cause: poll() read the control file before it took the lock. The first poll of the stand-in's own thread could read the text of before the test's change, wait for the lock and apply it after the test's own poll had applied the later one. Change: the file is read under the lock. The test is unchanged. The race was not provoked before the change.

--- a/standins/platformstandin.cpp
+++ b/standins/platformstandin.cpp
@@ -166,8 +166,9 @@
 void PlatformStandIn::Private::poll()
 {
     const QDir directory(settings.directory);
-    const QString text = QString::fromUtf8(readFile(directory.filePath(QStringLiteral("control"))).value_or(QByteArray()));
+    // Read under the lock: a thread that reads first and applies last would restore an earlier text.
     const std::lock_guard lock(mutex);
+    const QString text = QString::fromUtf8(readFile(directory.filePath(QStringLiteral("control"))).value_or(QByteArray()));
     if (text != controlText) {
         controlText = text;
         applyControl(PlatformStandInControl::fromText(text));
