--- a/review/6/case.py
+++ b/review/6/case.py
@@ -101,4 +101,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(scene_module.run(HERE, (BALANCERS, AGENTS), play))
+    sys.exit(scene_module.run(scene_module.Scene(HERE, BALANCERS, AGENTS), play))
--- a/review/lib-2/scene.py
+++ b/review/lib-2/scene.py
@@ -89,9 +89,13 @@
         self._reservation, slot = _reserve_slot(self.random)
         daemons = {"balancer": [str(DAEMON)], "agent": [str(DAEMON)]}
         self.deployment = Deployment(self.history, self.random, slot, self._work, daemons, self._size)
+        self.prepare(self.deployment)
         await self.deployment.start()
         return self
 
+    def prepare(self, deployment):
+        """Called before the deployment starts."""
+
     async def __aexit__(self, *_):
         await self.deployment.end()
         self._reservation.close()
@@ -121,7 +125,7 @@
     raise RuntimeError("no free range of loopback addresses")
 
 
-def run(case_folder, size, play):
+def run(scene, play):
     """Plays a case and returns the exit status; play(scene) returns HELD, BROKEN or NOT_RUN."""
 
     async def whole():
@@ -129,7 +133,6 @@
         # Connections of the stand-ins that are cancelled at the end are no errors.
         loop.set_exception_handler(lambda _, context: None if isinstance(context.get("exception"), (asyncio.CancelledError, type(None)))
                                    else loop.default_exception_handler(context))
-        scene = Scene(case_folder, *size)
         outcome = NOT_RUN
         try:
             async with scene:
