--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,9 +12,9 @@
 
 BALANCERS, AGENTS = 3, 9
 FLOWS = 120
-# Time between two versions of the configuration, as in config_storm.
-VERSION_GAP_SECONDS = 0.45
-TURNED_AWAY_SECONDS = 6.0
+# Time between the two versions of the configuration.
+VERSION_GAP_SECONDS = 3.0
+TURNED_AWAY_SECONDS = 9.0
 # Above contact-ms (4 s).
 SETTLED_SECONDS = 6.0
 REQUEST_PAUSE_SECONDS = 1.0
@@ -51,7 +51,7 @@
         history.mark_disturbed(victim.name, loop.time() + TURNED_AWAY_SECONDS)
     turned_away_at = loop.time()
     await asyncio.sleep(1.5)
-    end = loop.time() + 50
+    end = loop.time() + 60
     flows, tasks = [], []
 
     async def open_one(index):
--- a/review/lib-2/fastscene.py
+++ b/review/lib-2/fastscene.py
@@ -13,6 +13,11 @@
 SLOTS = 5
 
 
+def zone_of(index, balancers):
+    """The zone that the deployment gives to the machine with the index."""
+    return deployment_module.ZONES[index % 3 if index < balancers else (index - balancers) // 3 % 3]
+
+
 class ListedTarget:
     """The entry of a target in the store; the process behind it is played by `traffic`."""
 
@@ -56,7 +61,8 @@
         balancers, agents = self._size
         words = [f"B:{deployment.address('local', index)}" for index in range(balancers)]
         words += [f"T:{deployment.address('public', index)}:{deployment.address('local', index)}" for index in range(balancers, balancers + agents)]
-        words += [f"M:{deployment.address('public', index)}:{deployment.address('local', index)}" for index in range(balancers + agents)]
+        zones = [zone_of(index, balancers) for index in range(balancers + agents)]
+        words += [f"M:{deployment.address('public', index)}:{deployment.address('local', index)}:{zone}" for index, zone in enumerate(zones)]
         self.log = self._work / "openings.txt"
         command = [str(TRAFFIC), *self._traffic_arguments, deployment.address("callers", 150), ROUTE[0], str(ROUTE[1]), str(self.log), *words]
         self.traffic = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
--- a/review/lib-2/traffic.cpp
+++ b/review/lib-2/traffic.cpp
@@ -1,10 +1,11 @@
 // Stand-in for callers, targets and links: opens many short flows, answers them, and delays the messages between machines.
 //
-// Usage: traffic SECONDS LEAD RATE DELAY_MS CALLER_ADDRESS ROUTE_ADDRESS ROUTE_PORT LOG B:LOCAL... T:PUBLIC:LOCAL... M:PUBLIC:LOCAL...
+// Usage: traffic SECONDS LEAD RATE DELAY_MS CALLER_ADDRESS ROUTE_ADDRESS ROUTE_PORT LOG B:LOCAL... T:PUBLIC:LOCAL... M:PUBLIC:LOCAL:ZONE...
 //   LEAD  seconds before the first opening
 //   B  address of a balancer process, which takes packets of callers at port 8172
 //   T  a target with its application address and the address of its agent process
-//   M  a machine whose messages are delayed: its public address and the address of its process
+//   M  a machine whose messages are delayed: its public address, the address of its process and its zone. DELAY_MS holds between
+//      zones; inside a zone the delay is 0.1 ms.
 // The log has a line per opening that a target takes: index of the target, time sent and time taken (CLOCK_MONOTONIC, seconds).
 
 #include <arpa/inet.h>
@@ -37,6 +38,7 @@
 constexpr double workSeconds = 0.003, requestDeadline = 2.0;
 constexpr double copyTimes[] = {0.2, 0.6};
 constexpr double openingLimit = 1.4;
+constexpr double zoneDelay = 0.0001;
 constexpr uint16_t firstPort = 2000, lastPort = 62000;
 
 double now()
@@ -154,6 +156,7 @@
 {
     int descriptor;
     sockaddr_in process;
+    std::string zone;
 };
 
 struct CallerFlow
@@ -189,17 +192,20 @@
     std::vector<sockaddr_in> balancers;
     std::vector<Target> targets;
     std::vector<Machine> machines;
+    std::unordered_map<in_addr_t, std::string> zones;
     for (int index = 9; index < argc; ++index) {
         const std::string word = argv[index];
         const std::size_t colon = word.find(':', 2);
         const std::string first = word.substr(2, colon == std::string::npos ? colon : colon - 2);
-        const std::string second = colon == std::string::npos ? "" : word.substr(colon + 1);
+        const std::string rest = colon == std::string::npos ? "" : word.substr(colon + 1);
+        const std::string second = rest.substr(0, rest.find(':'));
         if (word[0] == 'B') {
             balancers.push_back(endpoint(first, callersPort));
         } else if (word[0] == 'T') {
             targets.push_back({openSocket(first, appPort, SOCK_DGRAM), openSocket(first, appPort, SOCK_STREAM), endpoint(second, outboundPort), {}});
         } else {
-            machines.push_back({openSocket(first, messagePort, SOCK_DGRAM), endpoint(second, messagePort)});
+            machines.push_back({openSocket(first, messagePort, SOCK_DGRAM), endpoint(second, messagePort), rest.substr(rest.find(':') + 1)});
+            zones[machines.back().process.sin_addr.s_addr] = machines.back().zone;
         }
     }
     const int callers = openSocket(callerAddress, callersPort, SOCK_DGRAM);
@@ -207,8 +213,8 @@
     std::mt19937 random(std::random_device{}());
     std::unordered_map<uint16_t, CallerFlow> flows;
     std::unordered_map<uint64_t, double> sentTimes;
-    // Messages have one delay, and works one length, so that both queues are ordered by time.
-    std::deque<Delayed> messages, answers;
+    // Messages inside a zone have one delay, those between zones another, and works one length, so that each queue is ordered by time.
+    std::deque<Delayed> nearMessages, messages, answers;
     uint16_t nextPort = firstPort;
     double nextOpening = now() + lead, nextCheck = now();
     uint64_t opened = 0, answered = 0;
@@ -246,7 +252,7 @@
             fromCaller(port, flow, syn, 0, 0);
             ++opened;
         }
-        for (std::deque<Delayed> *queue : {&messages, &answers}) {
+        for (std::deque<Delayed> *queue : {&nearMessages, &messages, &answers}) {
             while (!queue->empty() && time >= queue->front().due) {
                 sendTo(queue->front().descriptor, queue->front().to, queue->front().bytes);
                 queue->pop_front();
@@ -271,6 +277,7 @@
             }
         }
         double next = std::min(nextOpening, nextCheck);
+        next = nearMessages.empty() ? next : std::min(next, nearMessages.front().due);
         next = messages.empty() ? next : std::min(next, messages.front().due);
         next = answers.empty() ? next : std::min(next, answers.front().due);
         const double wait = std::max(0.0, next - now());
@@ -287,14 +294,19 @@
                 continue;
             }
             for (int count = 0; count < 64; ++count) {
-                const ssize_t size = recv(descriptors[index].fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+                sockaddr_in sender{};
+                socklen_t senderSize = sizeof(sender);
+                const ssize_t size =
+                    recvfrom(descriptors[index].fd, buffer, sizeof(buffer), MSG_DONTWAIT, reinterpret_cast<sockaddr *>(&sender), &senderSize);
                 if (size <= 0) {
                     break;
                 }
                 time = now();
                 if (index > targets.size()) {
                     const Machine &machine = machines[index - 1 - targets.size()];
-                    messages.push_back({time + delay, machine.descriptor, machine.process, std::string(buffer, static_cast<std::size_t>(size))});
+                    const bool isNear = zones[sender.sin_addr.s_addr] == machine.zone;
+                    (isNear ? nearMessages : messages)
+                        .push_back({time + (isNear ? zoneDelay : delay), machine.descriptor, machine.process, std::string(buffer, static_cast<std::size_t>(size))});
                     continue;
                 }
                 Packet packet = decode(buffer);
