Review scripts end their processes when they are stopped

Cause: a script that got SIGTERM left its daemons running. Change: SIGTERM and SIGINT cancel the run, which ends what it has started, also during the start.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -95,7 +95,7 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     resets = [text for rule, text in history.violations if rule == "flow"]
     scene.note(f"{len(resets)} open flows were reset by the load balancer")
-    if scene.undisturbed_stalls() or len(moved) < FLOWS // 10:
+    if scene.has_stalled() or len(moved) < FLOWS // 10:
         return NOT_RUN
     return BROKEN if resets else HELD
 
--- a/review/lib-2/scene.py
+++ b/review/lib-2/scene.py
@@ -9,6 +9,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -89,8 +90,12 @@
         self._reservation, slot = _reserve_slot(self.random)
         daemons = {"balancer": [str(DAEMON)], "agent": [str(DAEMON)]}
         self.deployment = Deployment(self.history, self.random, slot, self._work, daemons, self._size)
-        self.prepare(self.deployment)
-        await self.deployment.start()
+        try:
+            self.prepare(self.deployment)
+            await self.deployment.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
         return self
 
     def prepare(self, deployment):
@@ -103,7 +108,7 @@
             shutil.copytree(self._work, keep, dirs_exist_ok=True)
         shutil.rmtree(self._work, ignore_errors=True)
 
-    def undisturbed_stalls(self):
+    def has_stalled(self):
         """Whether this machine was too busy for the run to say anything."""
         return any("stalled" in line for line in self.history.timeline)
 
@@ -133,6 +138,10 @@
         # Connections of the stand-ins that are cancelled at the end are no errors.
         loop.set_exception_handler(lambda _, context: None if isinstance(context.get("exception"), (asyncio.CancelledError, type(None)))
                                    else loop.default_exception_handler(context))
+        # A script that is stopped ends its processes first.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         outcome = NOT_RUN
         try:
             async with scene:
@@ -140,7 +149,7 @@
                     scene.note("the deployment did not start")
                 else:
                     outcome = await asyncio.wait_for(play(scene), RUN_LIMIT_SECONDS)
-        except Exception as error:  # The case could not be played.
+        except (Exception, asyncio.CancelledError) as error:  # The case could not be played.
             scene.note(f"the case could not run: {error!r}")
             outcome = NOT_RUN
         scene.write_record({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[outcome])
