--- a/review/lib-2/scene.py
+++ b/review/lib-2/scene.py
@@ -64,6 +64,20 @@
             writer.transport.abort()
 
 
+# The sections that the templates of the deploy file have besides those that proof/soak writes.
+BALANCING = {"balancer": "[balancing]\ntwo-choices = false\nprobation = true\n",
+             "agent": "[balancing]\nobjective-order = true\nminimum-share-percent = 10\n"}
+
+
+class TemplateDeployment(Deployment):
+    """A deployment whose settings follow the templates of the deploy file."""
+
+    def write_settings(self, machine, is_initial_start=False):
+        super().write_settings(machine, is_initial_start)
+        with open(self.folder / f"{machine.name}.ini", "a") as settings:
+            settings.write(BALANCING[machine.role])
+
+
 class Scene:
     """One run of a case: a deployment, its record and its outcome."""
 
@@ -89,7 +103,7 @@
         self._work = pathlib.Path(tempfile.mkdtemp(prefix="rattanpick-review-"))
         self._reservation, slot = _reserve_slot(self.random)
         daemons = {"balancer": [str(DAEMON)], "agent": [str(DAEMON)]}
-        self.deployment = Deployment(self.history, self.random, slot, self._work, daemons, self._size)
+        self.deployment = TemplateDeployment(self.history, self.random, slot, self._work, daemons, self._size)
         try:
             self.prepare(self.deployment)
             await self.deployment.start()
