Split DirectoryPeers off StreamAgent

Change: DirectoryPeers holds the election of the reader, the processes that are notified of a newer revision and the choice of those that are queried for theirs. Behaviour is the same.

--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -2,11 +2,9 @@
 
 #include "core/assertion.h"
 
-#include "stream/directoryreaders.h"
 #include "stream/openingredirection.h"
 
 #include <algorithm>
-#include <set>
 
 namespace Rattanpick
 {
@@ -18,9 +16,6 @@
 constexpr quint32 acknowledgementWindow = 76'800;
 /// A balancer that has sent nothing for this long gets no more load reports.
 constexpr Duration balancerTimeout = 3s;
-/// A process that has queried the directory revision is notified of updates for this long; it repeats the query more
-/// often.
-constexpr Duration subscriptionTimeout = 5s;
 /// How long openings are refused at most after a pause if no full read of the directory ends.
 constexpr Duration pauseSuspensionLimit = 1s;
 /// The same after the start of the process. Above the time that a read takes, and below the time of the caller's last copy
@@ -48,6 +43,7 @@
     , m_retention(settings.retention, m_directory)
     , m_watch(m_settings, m_meter)
     , m_announcer(m_settings, m_directory)
+    , m_peers(m_settings, m_directory)
     , m_historyQueries(m_settings, m_directory)
     , m_startedAt(now)
     , m_loadDeadline(now + settings.loadInterval)
@@ -135,7 +131,7 @@
     } else if (message.kind == StreamMessageKind::RouteHistory) {
         m_historyQueries.onAnswer(now, message);
     } else if (message.kind == StreamMessageKind::Ping) {
-        m_subscribers[message.sender] = now + subscriptionTimeout;
+        m_peers.subscribe(now, message.sender);
         actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::Load, {})});
     }
     runLookups(now, actions);
@@ -209,7 +205,7 @@
     }
     m_loadDeadline = now + m_settings.loadInterval;
     std::erase_if(m_balancers, [now](const auto &item) { return now >= item.second; });
-    std::erase_if(m_subscribers, [now](const auto &item) { return now >= item.second; });
+    m_peers.removeExpired(now);
     reportLoad(now, actions);
 }
 
@@ -265,49 +261,16 @@
 
 void StreamAgent::onNewRevision(TimePoint now, StreamActions &actions)
 {
-    if (!isReader()) {
-        return;
-    }
-    std::set<Endpoint> notified;
-    for (const auto &[id, entry] : m_directory.entries()) {
-        if (entry.isPresent() && entry.target.dataCentre == m_settings.dataCentre && entry.agent != m_settings.endpoint) {
-            notified.insert(entry.agent);
-        }
-    }
-    for (const auto &[peer, deadline] : m_subscribers) {
-        if (now < deadline) {
-            notified.insert(peer);
-        }
-    }
-    for (const Endpoint &peer : notified) {
+    for (const Endpoint &peer : m_peers.updateReceivers(now)) {
         actions.emplace_back(SendStreamMessage{peer, answer(now, StreamMessageKind::DirectoryUpdate, {})});
     }
 }
 
 void StreamAgent::onStaleDirectory(TimePoint now, StreamActions &actions)
 {
-    StreamMessage query = answer(now, StreamMessageKind::Ping, {});
-    for (const Endpoint &agent : DirectoryReaders::peersToQuery(m_directory, m_settings.dataCentre, m_nextQuery++)) {
-        if (agent != m_settings.endpoint) {
-            actions.emplace_back(SendStreamMessage{agent, query});
-        }
-    }
-}
-
-bool StreamAgent::isReader()
-{
-    // A full read brings many changes; the election is run once after them.
-    if (m_readerGeneration != m_directory.generation()) {
-        m_readerGeneration = m_directory.generation();
-        const std::vector<Endpoint> readers = DirectoryReaders::ofDataCentre(m_directory, m_settings.dataCentre);
-        m_isReader = std::ranges::find(readers, m_settings.endpoint) != readers.end();
+    for (const Endpoint &peer : m_peers.takeQueryReceivers()) {
+        actions.emplace_back(SendStreamMessage{peer, answer(now, StreamMessageKind::Ping, {})});
     }
-    return m_isReader;
-}
-
-bool StreamAgent::isIsolated() const
-{
-    return DirectoryReaders::peersToQuery(m_directory, m_settings.dataCentre, 0).empty();
 }
 
 bool StreamAgent::isReady() const
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "stream/answermeter.h"
+#include "stream/directorypeers.h"
 #include "stream/flowlookup.h"
 #include "stream/flowretention.h"
 #include "stream/heldflow.h"
@@ -49,8 +50,14 @@
     bool isStopped(TimePoint now) const override;
     void onNewRevision(TimePoint now, StreamActions &actions) override;
     void onStaleDirectory(TimePoint now, StreamActions &actions) override;
-    bool isReader() override;
-    bool isIsolated() const override;
+    bool isReader() override
+    {
+        return m_peers.isReader();
+    }
+    bool isIsolated() const override
+    {
+        return m_peers.isIsolated();
+    }
     bool isReady() const override;
 
     // Target and state
@@ -176,6 +183,7 @@
     LoadMeter m_meter;
     TargetWatch m_watch;
     TargetAnnouncer m_announcer;
+    DirectoryPeers m_peers;
     RouteHistoryQueries m_historyQueries;
     TimePoint m_startedAt;
     OpeningQueue m_queue;
@@ -192,11 +200,6 @@
     quint32 m_nextTag = 1;
     /// Balancers that have sent segments, and until when they get load reports.
     std::unordered_map<Endpoint, TimePoint> m_balancers;
-    /// Processes that query the directory revision of this one, and until when they are notified of updates.
-    std::unordered_map<Endpoint, TimePoint> m_subscribers;
-    bool m_isReader = false;
-    quint64 m_readerGeneration = 0;
-    quint64 m_nextQuery = 0;
     TimePoint m_loadDeadline;
     /// The local target as last listed in the directory.
     TargetId m_targetId{};
