--- a/packages/core/event.cpp
+++ b/packages/core/event.cpp
@@ -54,6 +54,8 @@
     NamedEvent{EventNumber::DirectoryPulled, "DirectoryPulled", EventLevel::Info},
     NamedEvent{EventNumber::DirectoryOutdated, "DirectoryOutdated", EventLevel::Warning},
     NamedEvent{EventNumber::DirectoryCurrent, "DirectoryCurrent", EventLevel::Info},
+    NamedEvent{EventNumber::RouteHistoryQueried, "RouteHistoryQueried", EventLevel::Info},
+    NamedEvent{EventNumber::RouteHistoryReceived, "RouteHistoryReceived", EventLevel::Info},
     NamedEvent{EventNumber::FlowOpened, "FlowOpened", EventLevel::Debug},
     NamedEvent{EventNumber::FlowRefused, "FlowRefused", EventLevel::Warning},
     NamedEvent{EventNumber::FlowClosed, "FlowClosed", EventLevel::Debug},
--- a/packages/core/eventnumber.h
+++ b/packages/core/eventnumber.h
@@ -30,6 +30,8 @@
     DirectoryPulled = 211,
     DirectoryOutdated = 212,
     DirectoryCurrent = 213,
+    RouteHistoryQueried = 214,
+    RouteHistoryReceived = 215,
     FlowOpened = 301,
     FlowRefused = 302,
     FlowClosed = 303,
--- a/packages/stream/routehistoryqueries.cpp
+++ b/packages/stream/routehistoryqueries.cpp
@@ -68,6 +68,22 @@
     }
 }
 
+QString RouteHistoryQueries::describeQuery(TimePoint now, const Endpoint &peer) const
+{
+    const auto followed = std::chrono::duration_cast<std::chrono::milliseconds>(m_directory.routeHistory().followedFor(now));
+    return QStringLiteral("peer=%1 version=%2 followed-ms=%3").arg(peer.toString()).arg(*m_version).arg(followed.count());
+}
+
+QString RouteHistoryQueries::describeAnswer(TimePoint now, const StreamMessage &answer) const
+{
+    return QStringLiteral("peer=%1 version=%2 followed-ms=%3 former-services=%4 complete=%5")
+        .arg(answer.sender.toString())
+        .arg(answer.configurationVersion)
+        .arg(answer.followedMilliseconds)
+        .arg(answer.formerServices.size())
+        .arg(m_directory.routeHistory().isComplete(now) ? 1 : 0);
+}
+
 std::vector<StreamMessage> RouteHistoryQueries::parts(TimePoint now, const RouteHistory &history, const StreamMessage &answer)
 {
     if (history.isAwaitingPeer(now)) {
--- a/packages/stream/routehistoryqueries.h
+++ b/packages/stream/routehistoryqueries.h
@@ -32,6 +32,12 @@
     /// The messages of an answer, each made from @p answer; empty if this process may have missed versions itself.
     static std::vector<StreamMessage> parts(TimePoint now, const RouteHistory &history, const StreamMessage &answer);
 
+    /// The query to the peer, for logs.
+    QString describeQuery(TimePoint now, const Endpoint &peer) const;
+
+    /// The answer and what it has led to, for logs.
+    QString describeAnswer(TimePoint now, const StreamMessage &answer) const;
+
     /// When the next query is due.
     TimePoint nextDeadline() const
     {
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -130,6 +130,7 @@
         answerHistoryQuery(now, message.sender, actions);
     } else if (message.kind == StreamMessageKind::RouteHistory) {
         m_historyQueries.onAnswer(now, message);
+        actions.emplace_back(RecordStreamEvent{EventNumber::RouteHistoryReceived, {}, m_historyQueries.describeAnswer(now, message)});
     } else if (message.kind == StreamMessageKind::Ping) {
         m_peers.subscribe(now, message.sender);
         actions.emplace_back(SendStreamMessage{message.sender, answer(now, StreamMessageKind::Load, {})});
@@ -197,6 +198,7 @@
     announceTarget(now, actions);
     if (const std::optional<Endpoint> peer = m_historyQueries.takeReceiver(now)) {
         actions.emplace_back(SendStreamMessage{*peer, answer(now, StreamMessageKind::RouteHistoryQuery, {})});
+        actions.emplace_back(RecordStreamEvent{EventNumber::RouteHistoryQueried, {}, m_historyQueries.describeQuery(now, *peer)});
     }
     releaseQueued(now, actions);
     removeExpired(now);
