Close gaps in the record of route versions only by continuous records

Cause: an agent decided by its role, not by what it was given, whether it had seen every version of the configuration. A reader that had skipped versions in a full read took its record for complete, asked only the targets of the present service, and ended the lookup in a reset. The agents that pull from it asked it, got an older version, and took their own records for complete after 2 s.

Change: RoutesPublished::isGapless tells whether the source has delivered every version; only a watch does. After another step the record of RouteHistory begins anew, until the record of a peer reaches back across the gap. No time-out closes it, queries go on until it is closed, and they go to all readers and then to all agents. Each answer tells for how long the record of its sender is continuous; it is sent also while that is short, since former services that are known stay true. The test that expected no answer in that case now checks what the answer claims.

--- a/packages/stream/directorychange.h
+++ b/packages/stream/directorychange.h
@@ -44,6 +44,9 @@
 {
     quint64 revision = 0;
     RouteTablePointer routes;
+    /// Whether the source has delivered every version after the previous one that this process had. A full read and a peer tell the
+    /// latest version only.
+    bool isGapless = false;
 
     bool operator==(const RoutesPublished &) const = default;
 };
--- a/packages/stream/routehistory.cpp
+++ b/packages/stream/routehistory.cpp
@@ -10,14 +10,28 @@
 {
 }
 
-void RouteHistory::onRoutes(TimePoint now, const RouteTable *previous, const RouteTable &next)
+void RouteHistory::onRoutes(TimePoint now, const RouteTable *previous, const RouteTable &next, bool isGapless)
 {
     if (previous == nullptr) {
         m_followedSince = std::min(m_followedSince.value_or(now), m_settings.isInitialStart ? now - m_settings.maximumFlowAge : now);
         return;
     }
-    for (const Route &route : previous->routes()) {
-        const Route *kept = next.findRoute(route.address);
+    addFormer(now, *previous, next);
+    if (!isGapless) {
+        // A version that was skipped may have used any service.
+        m_followedSince = now;
+    }
+}
+
+void RouteHistory::onEarlierRoutes(TimePoint now, const RouteTable &earlier, const RouteTable &inForce)
+{
+    addFormer(now, earlier, inForce);
+}
+
+void RouteHistory::addFormer(TimePoint now, const RouteTable &earlier, const RouteTable &later)
+{
+    for (const Route &route : earlier.routes()) {
+        const Route *kept = later.findRoute(route.address);
         if (kept == nullptr || *kept == route) {
             continue;
         }
@@ -28,7 +42,7 @@
         }
     }
     // The flows of a route end when it is removed, also if it is added again later.
-    std::erase_if(m_deadlines, [&next](const auto &item) { return next.findRoute(item.first.first) == nullptr; });
+    std::erase_if(m_deadlines, [&later](const auto &item) { return later.findRoute(item.first.first) == nullptr; });
 }
 
 void RouteHistory::merge(TimePoint now, const std::vector<FormerServiceReport> &reports)
@@ -42,7 +56,6 @@
 void RouteHistory::onMerged(TimePoint followedSince)
 {
     m_followedSince = std::min(m_followedSince.value_or(followedSince), followedSince);
-    m_peerDeadline = {};
 }
 
 void RouteHistory::add(const Endpoint &route, ServiceId service, TimePoint deadline)
@@ -88,7 +101,7 @@
 
 bool RouteHistory::isComplete(TimePoint now) const
 {
-    return followedFor(now) >= m_settings.maximumFlowAge && !isAwaitingPeer(now);
+    return followedFor(now) >= m_settings.maximumFlowAge;
 }
 
 TimePoint RouteHistory::nextDeadline() const
--- a/packages/stream/routehistory.h
+++ b/packages/stream/routehistory.h
@@ -15,35 +15,28 @@
 /// The services that routes have used in earlier versions of the configuration.
 ///
 /// A new version leaves open flows where they are, so that a flow may be held by a target of a service that its route no
-/// longer uses. A process learns of the versions from before its start from its peers.
+/// longer uses. The record of a process is continuous since a point in time if the process has seen every version since then, or
+/// a peer has that has shared its record. What the record lacks was in force at no time since then; before it, anything may have been.
 class RouteHistory
 {
 public:
     /// Builds an empty history.
     explicit RouteHistory(const RouteHistorySettings &settings);
 
-    /// A version of the configuration comes into force; @p previous is null for the first one.
-    void onRoutes(TimePoint now, const RouteTable *previous, const RouteTable &next);
+    /// A version of the configuration comes into force; @p previous is null for the first one. @p isGapless: no version between
+    /// the two was skipped; otherwise the record is continuous from now on only.
+    void onRoutes(TimePoint now, const RouteTable *previous, const RouteTable &next, bool isGapless);
+
+    /// A version that is older than the one in force has arrived late.
+    void onEarlierRoutes(TimePoint now, const RouteTable &earlier, const RouteTable &inForce);
 
     /// Takes over former services that a peer knows.
     void merge(TimePoint now, const std::vector<FormerServiceReport> &reports);
 
-    /// All former services of a peer have been taken over. It has followed the configuration since the time, up to a version
-    /// that is not older than that of this process.
+    /// All former services of a peer have been taken over. Its record is continuous since the time, up to a version that is not
+    /// older than that of this process.
     void onMerged(TimePoint followedSince);
 
-    /// This process may have missed versions before the present one; waits for a peer that has seen them, until the deadline.
-    void awaitPeer(TimePoint deadline)
-    {
-        m_peerDeadline = deadline;
-    }
-
-    /// Whether versions may be missing that a peer has seen.
-    bool isAwaitingPeer(TimePoint now) const
-    {
-        return now < m_peerDeadline;
-    }
-
     /// Removes services whose flows have ended.
     void onTick(TimePoint now);
 
@@ -56,7 +49,7 @@
     /// All former services.
     std::vector<FormerServiceReport> reports(TimePoint now) const;
 
-    /// How long the configuration has been followed, by this process or by peers; zero before the first version.
+    /// For how long the record is continuous, by this process or by peers; zero before the first version.
     Duration followedFor(TimePoint now) const;
 
     /// Whether every service that may hold flows of a route is known.
@@ -66,14 +59,14 @@
     TimePoint nextDeadline() const;
 
 private:
+    void addFormer(TimePoint now, const RouteTable &earlier, const RouteTable &later);
     void add(const Endpoint &route, ServiceId service, TimePoint deadline);
 
     RouteHistorySettings m_settings;
     /// Deadlines by route and service.
     std::map<std::pair<Endpoint, ServiceId>, TimePoint> m_deadlines;
-    /// Since when the configuration has been followed.
+    /// Since when the record is continuous.
     std::optional<TimePoint> m_followedSince;
-    TimePoint m_peerDeadline{};
 };
 
 }
--- a/packages/stream/routehistoryqueries.cpp
+++ b/packages/stream/routehistoryqueries.cpp
@@ -15,40 +15,50 @@
 {
 }
 
-void RouteHistoryQueries::onRoutes(TimePoint now, bool isReader)
+void RouteHistoryQueries::onRoutes(TimePoint now)
 {
     const RouteTablePointer &routes = m_directory.routes();
     if (routes == nullptr || !m_directory.isComplete() || m_version == routes->version()) {
         return;
     }
-    const bool isFirst = !m_version;
     m_version = routes->version();
-    RouteHistory &history = m_directory.routeHistory();
-    if (history.isComplete(now) && (isFirst || isReader)) {
-        return;
-    }
-    if (!isFirst) {
-        history.awaitPeer(now + m_settings.historyQueryInterval * m_settings.historyQueryAttempts);
-    }
-    m_attemptsLeft = m_settings.historyQueryAttempts;
-    m_deadline = now;
+    m_attempts = 0;
+    m_deadline = m_directory.routeHistory().isComplete(now) ? TimePoint::max() : now;
 }
 
 std::optional<Endpoint> RouteHistoryQueries::takeReceiver(TimePoint now)
 {
-    if (now < nextDeadline()) {
+    if (now < m_deadline) {
         return std::nullopt;
     }
-    --m_attemptsLeft;
-    m_deadline = now + m_settings.historyQueryInterval;
-    m_parts.clear();
-    // The attempts go to the readers of the data centre in turn, and to one other agent.
-    std::vector<Endpoint> peers = DirectoryReaders::peersToQuery(m_directory, m_settings.dataCentre, m_settings.endpoint.address + *m_version);
-    std::erase(peers, m_settings.endpoint);
-    if (peers.empty()) {
+    if (m_directory.routeHistory().isComplete(now)) {
+        m_deadline = TimePoint::max();
         return std::nullopt;
     }
-    return peers.at((m_settings.endpoint.address + static_cast<quint64>(m_attemptsLeft)) % peers.size());
+    const std::vector<Endpoint> peers = receivers();
+    const std::size_t attempt = m_attempts++;
+    m_deadline = now + (m_attempts < m_settings.historyQueryAttempts ? m_settings.historyQueryInterval : m_settings.historyQueryLateInterval);
+    m_parts.clear();
+    return peers.empty() ? std::nullopt : std::optional(peers.at(attempt % peers.size()));
+}
+
+std::vector<Endpoint> RouteHistoryQueries::receivers() const
+{
+    // Readers see every version while the source serves them. Those of other data centres follow the own one, which may have skipped
+    // versions as well; then the other agents, each process from another one on.
+    std::vector<Endpoint> peers = DirectoryReaders::ofAll(m_directory, m_settings.dataCentre);
+    std::vector<Endpoint> others;
+    for (const auto &[id, entry] : m_directory.entries()) {
+        if (entry.isPresent() && std::ranges::find(peers, entry.agent) == peers.end()) {
+            others.push_back(entry.agent);
+        }
+    }
+    if (!others.empty()) {
+        std::ranges::rotate(others, others.begin() + static_cast<std::ptrdiff_t>(m_settings.endpoint.address % others.size()));
+    }
+    peers.insert(peers.end(), others.begin(), others.end());
+    std::erase(peers, m_settings.endpoint);
+    return peers;
 }
 
 void RouteHistoryQueries::onAnswer(TimePoint now, const StreamMessage &answer)
@@ -64,7 +74,7 @@
     }
     history.onMerged(now - std::chrono::milliseconds(answer.followedMilliseconds));
     if (history.isComplete(now)) {
-        m_attemptsLeft = 0;
+        m_deadline = TimePoint::max();
     }
 }
 
@@ -86,9 +96,6 @@
 
 std::vector<StreamMessage> RouteHistoryQueries::parts(TimePoint now, const RouteHistory &history, const StreamMessage &answer)
 {
-    if (history.isAwaitingPeer(now)) {
-        return {};
-    }
     const std::vector<FormerServiceReport> reports = history.reports(now);
     const auto followed = std::chrono::duration_cast<std::chrono::milliseconds>(history.followedFor(now)).count();
     std::vector<StreamMessage> parts;
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -70,7 +70,7 @@
     }
     m_announcer.onDirectoryChange(now);
     if (std::holds_alternative<RoutesPublished>(change) || std::holds_alternative<FullReadCompleted>(change)) {
-        m_historyQueries.onRoutes(now, isReader());
+        m_historyQueries.onRoutes(now);
     }
 }
 
--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -91,8 +91,10 @@
     Duration unsettledTime = 2500ms;
     /// Queries for the former services of the routes after a new version of the configuration, and their interval. Together
     /// above the time that peers take to read the version.
-    int historyQueryAttempts = 8;
+    std::size_t historyQueryAttempts = 8;
     Duration historyQueryInterval = 250ms;
+    /// Interval of further queries, until the former services are known.
+    Duration historyQueryLateInterval = 2s;
     SilentAgentsSettings silentAgents;
     FlowRetentionSettings retention;
     /// Maximum number of agents that may forward a packet.
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -148,7 +148,7 @@
 {
     // The version never decreases within the lifetime of a process, even if an outdated read arrives.
     if (m_routes != nullptr && change.routes->version() < m_routes->version()) {
-        m_routeHistory.onRoutes(now, change.routes.get(), *m_routes);
+        m_routeHistory.onEarlierRoutes(now, *change.routes, *m_routes);
         return;
     }
     // Peers of an earlier version serve the routes of a configuration without their objectives.
@@ -158,7 +158,7 @@
         return;
     }
     if (m_routes == nullptr || change.routes->version() > m_routes->version()) {
-        m_routeHistory.onRoutes(now, m_routes.get(), *change.routes);
+        m_routeHistory.onRoutes(now, m_routes.get(), *change.routes, change.isGapless);
         m_routes = change.routes;
         ++m_generation;
         for (auto &[id, entry] : m_entries) {
--- a/tests/platform/storesourcetest.cpp
+++ b/tests/platform/storesourcetest.cpp
@@ -77,9 +77,10 @@
         m_server.stop();
     }
 
-    void setOddValue(const QByteArray &value)
+    void setOddValue(const QByteArray &value, const QString &key = oddKey)
     {
         const std::scoped_lock lock(m_mutex);
+        m_oddKey = key;
         m_oddValue = value;
     }
 
@@ -112,7 +113,7 @@
             return QJsonObject{
                 {QStringLiteral("key"), key}, {QStringLiteral("value"), QString::fromLatin1(value.toBase64())}, {QStringLiteral("revision"), revision}};
         };
-        QJsonObject body{{QLatin1String(list), QJsonArray{item(oddKey, m_oddValue, 8), item(goodKey, entry(), 9)}}, {QStringLiteral("current-rev"), 10}};
+        QJsonObject body{{QLatin1String(list), QJsonArray{item(m_oddKey, m_oddValue, 8), item(goodKey, entry(), 9)}}, {QStringLiteral("current-rev"), 10}};
         if (isRange) {
             body.insert(QStringLiteral("has-more"), false);
         }
@@ -120,6 +121,7 @@
     }
 
     std::mutex m_mutex;
+    QString m_oddKey;
     QByteArray m_oddValue;
 };
 
@@ -166,3 +168,27 @@
         EXPECT_TRUE(isUnlisted) << odd.left(200).constData();
     }
 }
+
+// Guards against a full read that counts as having delivered the versions between the one before and its own.
+TEST_F(StoreSourceTest, OnlyWatchesDeliverEveryVersion)
+{
+    StoreSource source(m_server.endpoints().front());
+    setOddValue(R"({"version":7,"routes":[],"services":[{"name":"huvo11a"}],"limits":{}})", QStringLiteral("op/config"));
+    const auto isGapless = [](const SourceAnswer &answer) {
+        const auto isRoutes = [](const DirectoryChange &change) {
+            return std::holds_alternative<RoutesPublished>(change);
+        };
+        const auto found = std::ranges::find_if(answer.changes, isRoutes);
+        EXPECT_NE(found, answer.changes.end());
+        return found != answer.changes.end() && std::get<RoutesPublished>(*found).isGapless;
+    };
+    EXPECT_FALSE(isGapless(source.readAll(deadline())));
+    const SourceAnswer watched = source.watch(5, Clock::now() + 1s, deadline());
+    EXPECT_TRUE(isGapless(watched));
+    // A peer that is served from the image may have skipped versions.
+    DirectoryImage image;
+    image.apply({watched.revision, watched.changes, true});
+    const std::optional<DirectoryBatch> pulled = decodeDirectoryBatch(Clock::now(), encodeDirectoryBatch(Clock::now(), image.since(0)));
+    ASSERT_TRUE(pulled);
+    EXPECT_FALSE(isGapless({SourceResult::Read, pulled->revision, pulled->changes, {}}));
+}
--- a/tests/stream/routehistorytest.cpp
+++ b/tests/stream/routehistorytest.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 using namespace Rattanpick;
 using namespace StreamTestData;
 
@@ -25,9 +27,9 @@
     RouteHistory history = historyOf(true);
     const RouteTablePointer both = routesTo(1, {{service, 1}, {otherService, 1}});
     const RouteTablePointer one = routesTo(2, {{service, 1}});
-    history.onRoutes(start, nullptr, *both);
+    history.onRoutes(start, nullptr, *both, true);
     EXPECT_FALSE(history.contains(route, otherService));
-    history.onRoutes(start + 1s, both.get(), *one);
+    history.onRoutes(start + 1s, both.get(), *one, true);
     EXPECT_TRUE(history.contains(route, otherService));
     EXPECT_FALSE(history.contains(route, service));
     EXPECT_EQ(history.nextDeadline(), start + 1s + flowAge);
@@ -44,10 +46,10 @@
     const RouteTablePointer both = routesTo(1, {{service, 1}, {otherService, 1}});
     const RouteTablePointer one = routesTo(2, {{service, 1}});
     const RouteTablePointer none = routesTo(3, {});
-    history.onRoutes(start, nullptr, *both);
-    history.onRoutes(start, both.get(), *one);
-    history.onRoutes(start, one.get(), *none);
-    history.onRoutes(start, none.get(), *routesTo(4, {{service, 1}}));
+    history.onRoutes(start, nullptr, *both, true);
+    history.onRoutes(start, both.get(), *one, true);
+    history.onRoutes(start, one.get(), *none, true);
+    history.onRoutes(start, none.get(), *routesTo(4, {{service, 1}}), true);
     EXPECT_FALSE(history.contains(route, otherService));
 }
 
@@ -56,18 +58,47 @@
 {
     RouteHistory history = historyOf(false);
     EXPECT_FALSE(history.isComplete(start + 1h));
-    history.onRoutes(start, nullptr, *routesTo(1, {{service, 1}}));
+    history.onRoutes(start, nullptr, *routesTo(1, {{service, 1}}), true);
     EXPECT_FALSE(history.isComplete(start + flowAge - 1ms));
     EXPECT_TRUE(history.isComplete(start + flowAge));
     RouteHistory initial = historyOf(true);
-    initial.onRoutes(start, nullptr, *routesTo(1, {{service, 1}}));
-    EXPECT_TRUE(initial.isComplete(start));
-    initial.awaitPeer(start + 1s);
-    EXPECT_FALSE(initial.isComplete(start));
-    initial.onMerged(start);
+    initial.onRoutes(start, nullptr, *routesTo(1, {{service, 1}}), true);
     EXPECT_TRUE(initial.isComplete(start));
 }
 
+// Guards against a process that takes its record for complete although it has skipped versions, and against a peer that has skipped
+// them too and makes it complete.
+TEST(RouteHistoryTest, SkippedVersionsEndTheRecord)
+{
+    RouteHistory history = historyOf(true);
+    const RouteTablePointer first = routesTo(1, {{service, 1}});
+    const RouteTablePointer second = routesTo(2, {{service, 1}});
+    const RouteTablePointer fourth = routesTo(4, {{service, 1}});
+    history.onRoutes(start, nullptr, *first, false);
+    history.onRoutes(start + 1s, first.get(), *second, true);
+    EXPECT_TRUE(history.isComplete(start + 1s));
+    history.onRoutes(start + 2s, second.get(), *fourth, false);
+    EXPECT_FALSE(history.isComplete(start + 2s));
+    history.onMerged(start + 1s);
+    EXPECT_EQ(history.followedFor(start + 2s), 1s);
+    EXPECT_FALSE(history.isComplete(start + 2s));
+    EXPECT_FALSE(history.isComplete(start + 1s + flowAge - 1ms));
+    EXPECT_TRUE(history.isComplete(start + 1s + flowAge));
+    history.onMerged(start + 2s - flowAge);
+    EXPECT_TRUE(history.isComplete(start + 2s));
+}
+
+// Guards against a record that a late copy of an earlier version ends, and against the loss of what that version allowed.
+TEST(RouteHistoryTest, EarlierVersionsAddToTheRecord)
+{
+    RouteHistory history = historyOf(true);
+    const RouteTablePointer third = routesTo(3, {{service, 1}});
+    history.onRoutes(start, nullptr, *third, false);
+    history.onEarlierRoutes(start, *routesTo(2, {{otherService, 1}}), *third);
+    EXPECT_TRUE(history.contains(route, otherService));
+    EXPECT_TRUE(history.isComplete(start));
+}
+
 namespace
 {
 
@@ -81,7 +112,7 @@
         for (const DirectoryChange &change : reading({target(1), target(2), target(4)})) {
             m_directory.apply(start, change);
         }
-        m_queries.onRoutes(start, false);
+        m_queries.onRoutes(start);
     }
 
     /// An answer of a peer that knows one former service.
@@ -123,7 +154,7 @@
 TEST_F(RouteHistoryQueriesTest, IncompleteAnswersDoNotCount)
 {
     m_directory.apply(start, RoutesPublished{200, routesTo(2, {{service, 1}})});
-    m_queries.onRoutes(start, false);
+    m_queries.onRoutes(start);
     m_queries.takeReceiver(start);
     m_queries.onAnswer(start, answer(1));
     EXPECT_FALSE(m_directory.routeHistory().isComplete(start));
@@ -135,19 +166,44 @@
     EXPECT_TRUE(m_directory.routeHistory().isComplete(start));
 }
 
-// Guards against a query to readers and others after each version by the processes that see all versions.
-TEST_F(RouteHistoryQueriesTest, ReadersOfTheStoreNeedNoPeer)
+// Guards against a query after each version by the processes that the source gives all versions, and against one of them that answers for
+// a time in which it has skipped versions.
+TEST_F(RouteHistoryQueriesTest, GaplessVersionsNeedNoPeer)
 {
     m_queries.onAnswer(start, answer(1));
-    m_directory.apply(start, RoutesPublished{200, routesTo(2, {{service, 1}})});
-    m_queries.onRoutes(start, true);
+    m_directory.apply(start, RoutesPublished{200, routesTo(2, {{service, 1}}), true});
+    m_queries.onRoutes(start);
     EXPECT_EQ(m_queries.nextDeadline(), TimePoint::max());
     EXPECT_TRUE(m_directory.routeHistory().isComplete(start));
-    m_directory.apply(start, RoutesPublished{201, routesTo(3, {{service, 1}})});
-    m_queries.onRoutes(start, false);
+    EXPECT_EQ(RouteHistoryQueries::parts(start, m_directory.routeHistory(), {}).front().followedMilliseconds, 120'000);
+    m_directory.apply(start, RoutesPublished{201, routesTo(4, {{service, 1}})});
+    m_queries.onRoutes(start);
     EXPECT_FALSE(m_directory.routeHistory().isComplete(start));
     EXPECT_TRUE(m_queries.takeReceiver(start).has_value());
-    EXPECT_TRUE(RouteHistoryQueries::parts(start, m_directory.routeHistory(), {}).empty()) << "it may have missed versions itself";
+    const std::vector<StreamMessage> parts = RouteHistoryQueries::parts(start + 3s, m_directory.routeHistory(), {});
+    EXPECT_EQ(parts.front().followedMilliseconds, 3000) << "it has skipped a version 3 s ago";
+    EXPECT_EQ(parts.front().formerServices.size(), 1) << "what it knows stays true";
+}
+
+// Guards against a process that takes its record for complete because nobody has answered, and against one that asks the same peers for
+// ever although others know more.
+TEST_F(RouteHistoryQueriesTest, SilenceMakesNoRecordComplete)
+{
+    std::set<Endpoint> asked;
+    for (TimePoint now = start; now < start + 30s; now += 10ms) {
+        if (const std::optional<Endpoint> peer = m_queries.takeReceiver(now)) {
+            asked.insert(*peer);
+            StreamMessage brief = answer(1);
+            brief.followedMilliseconds = 0;
+            m_queries.onAnswer(now, brief);
+        }
+        ASSERT_FALSE(m_directory.routeHistory().isComplete(now));
+    }
+    EXPECT_EQ(asked, (std::set<Endpoint>{agentAddress(2), agentAddress(4)}));
+    EXPECT_LE(m_queries.nextDeadline(), start + 30s + m_settings.historyQueryLateInterval);
+    m_queries.onAnswer(start + 30s, answer(1));
+    EXPECT_TRUE(m_directory.routeHistory().isComplete(start + 30s));
+    EXPECT_EQ(m_queries.nextDeadline(), TimePoint::max());
 }
 
 // Guards against answers that do not fit into a packet.
--- a/tests/stream/streamsimulation.cpp
+++ b/tests/stream/streamsimulation.cpp
@@ -513,13 +513,34 @@
     }
     const std::size_t agent = index - m_balancers.size();
     const bool isLatest = change.routes == m_routes;
-    if (m_agents[agent] == nullptr || (!isLatest && !m_agents[agent]->isReader())) {
+    if (m_agents[agent] == nullptr || m_now < m_turnedAwayUntil[agent] || (!isLatest && !m_agents[agent]->isReader())) {
         return;
     }
-    m_agents[agent]->onDirectoryChange(m_now, change, actions);
+    RoutesPublished read = change;
+    // A watch delivers each version; a process that has started since, or was turned away, has begun with a full read.
+    read.isGapless = m_agents[agent]->isReader() && m_agents[agent]->directory().routes()->version() + 1 == change.routes->version();
+    m_agents[agent]->onDirectoryChange(m_now, read, actions);
     execute(actions, static_cast<int>(agent));
 }
 
+void StreamSimulation::turnAway(int agent, TimePoint end)
+{
+    const auto place = static_cast<std::size_t>(agent);
+    m_turnedAwayUntil[place] = end;
+    at(end, [this, place] { readRoutes(m_balancers.size() + place, RoutesPublished{m_revision, m_routes}); });
+}
+
+std::vector<int> StreamSimulation::readers() const
+{
+    std::vector<int> readers;
+    for (std::size_t agent = 0; agent < m_agents.size(); ++agent) {
+        if (m_agents[agent] != nullptr && m_agents[agent]->isReader()) {
+            readers.push_back(static_cast<int>(agent));
+        }
+    }
+    return readers;
+}
+
 // Faults
 
 void StreamSimulation::restartBalancer(int index)
--- a/tests/stream/streamsimulation.h
+++ b/tests/stream/streamsimulation.h
@@ -135,6 +135,12 @@
     /// Publishes a configuration whose route uses the services; without services, the route is removed.
     void publishRoute(const std::vector<ServiceShare> &shares);
 
+    /// The source turns the agent away until the time: it reads no version until then, and the latest one at that time.
+    void turnAway(int agent, TimePoint end);
+
+    /// The agents that watch the source at present.
+    std::vector<int> readers() const;
+
     /// No message passes between the two data centres until the time.
     void cutBetween(int first, int second, TimePoint end);
 
@@ -234,6 +240,8 @@
     std::pair<int, int> m_cut{-1, -1};
     TimePoint m_cutEnd{};
     RouteTablePointer m_routes;
+    /// Until when each agent is turned away by the source.
+    std::map<std::size_t, TimePoint> m_turnedAwayUntil;
     std::set<ServiceId> m_allowedServices;
     /// When each balancer and each agent reads the latest routes.
     std::map<std::size_t, TimePoint> m_routesReadAt;
--- a/tests/stream/streamsimulationtest.cpp
+++ b/tests/stream/streamsimulationtest.cpp
@@ -339,6 +339,42 @@
     RC_ASSERT(isRouteRemoved || isAtOnce || simulation.answeredWithin(settings.callerTimeout) == 1.0);
 }
 
+// Guards against resets of flows that were opened by a version of the configuration which one or more readers of the store, or the
+// agents that rely on them, have skipped.
+RC_GTEST_PROP(StreamSimulationTest, SkippedVersionsBreakNoFlow, ())
+{
+    StreamSimulationSettings settings = lookupSettings(12);
+    settings.otherTargets = 5;
+    StreamSimulation simulation(settings);
+    const TimePoint begin = simulation.now();
+    const TimePoint end = begin + 12s;
+    using StreamTestData::otherService;
+    using StreamTestData::service;
+    sendPeriodicRequests(simulation, 60, 700ms, end);
+    const bool isEveryReaderTurnedAway = *rc::gen::inRange(0, 3) == 0;
+    const auto turnedAwayFor = std::chrono::milliseconds(*rc::gen::inRange(500, 5000));
+    bool isFirst = true;
+    for (const int reader : simulation.readers()) {
+        if (isFirst || isEveryReaderTurnedAway || *rc::gen::arbitrary<bool>()) {
+            simulation.at(begin + 1s, [&simulation, reader, until = begin + 1s + turnedAwayFor] { simulation.turnAway(reader, until); });
+        }
+        isFirst = false;
+    }
+    const auto gap = std::chrono::milliseconds(*rc::gen::inRange(200, 4500));
+    simulation.at(begin + 1100ms, [&simulation] { simulation.publishRoute({{otherService, 1}}); });
+    simulation.at(begin + 1200ms, [&simulation, gap, end] { sendPeriodicRequests(simulation, 60, gap, end); });
+    simulation.at(begin + 1100ms + gap, [&simulation] { simulation.publishRoute({{service, 1}}); });
+    if (*rc::gen::arbitrary<bool>()) {
+        const int agent = *rc::gen::inRange(0, settings.targets);
+        simulation.at(begin + 7s, [&simulation, agent] { simulation.restartAgent(agent, 300ms); });
+    }
+    restartBalancersAtRandom(simulation, settings.balancers, *rc::gen::inRange(2, 8), 2s);
+    simulation.runUntil(end + 6s);
+    RC_ASSERT(wrongResets(simulation) == 0);
+    RC_ASSERT(simulation.foreignSegments() == 0);
+    RC_ASSERT(simulation.misroutedFlows() == 0);
+}
+
 // Guards against new flows to a draining target from balancers that are notified late.
 RC_GTEST_PROP(StreamSimulationTest, DrainingTargetsGetNoNewFlows, ())
 {
