Repeat lookups whose choice of services is outdated

Callers saw: not seen by users; a property reset one open flow of 120 when an agent skipped a version during a lookup.

Cause: a round asks the services that the route is known to have used when it begins. A version that is read, or a former service that a peer tells of, before the last denial adds services that were not asked; the denials ended the lookup in a reset all the same.

Change: RouteHistory counts its generations, and a round that asked by an earlier one ends no lookup, unless it asked all services.

--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -75,7 +75,8 @@
 void FlowLookup::beginRound(TimePoint now, const FlowKey &flow, Lookup &lookup, StreamActions &actions)
 {
     // While the former services of the route are not known, the flow may be held by a target of any service.
-    const bool asksAllServices = !m_directory.routeHistory().isComplete(now);
+    lookup.asksAllServices = !m_directory.routeHistory().isComplete(now);
+    lookup.historyGeneration = m_directory.routeHistory().generation();
     lookup.outstanding.clear();
     lookup.unlisted.clear();
     lookup.uncertain.clear();
@@ -90,7 +91,7 @@
             continue;
         }
         const bool isServiceAllowed = m_directory.mayHoldFlows(flow.service, entry.target.service);
-        if (!isServiceAllowed && !asksAllServices) {
+        if (!isServiceAllowed && !lookup.asksAllServices) {
             continue;
         }
         // The search takes time in the number of targets, so that it is made for the few entries that are not present only.
@@ -200,8 +201,10 @@
 
 bool FlowLookup::isConclusive(TimePoint now, const Lookup &lookup) const
 {
+    // A service that has become known since the round began was not asked.
+    const bool hasAskedAll = lookup.asksAllServices || lookup.historyGeneration == m_directory.routeHistory().generation();
     const bool isCertain = lookup.uncertain.empty() && lookup.isDeniedByOwnTarget;
-    return isCertain && lookup.outstanding.empty() && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllPresentTargets(now);
+    return isCertain && hasAskedAll && lookup.outstanding.empty() && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllPresentTargets(now);
 }
 
 bool FlowLookup::hasLatestRoutes() const
--- a/packages/stream/flowlookup.h
+++ b/packages/stream/flowlookup.h
@@ -134,6 +134,10 @@
         Endpoint informedAgent;
         /// Until when the directory may lack targets that an agent has a record of.
         TimePoint exhaustiveAfter{};
+        /// Whether the round asks the agents of all services, since the former services of the route were not known.
+        bool asksAllServices = false;
+        /// Generation of the route history by which the round has chosen whom to ask.
+        quint64 historyGeneration = 0;
         /// Whether the directory was settled when the round began.
         bool isDirectorySettled = false;
     };
--- a/packages/stream/routehistory.cpp
+++ b/packages/stream/routehistory.cpp
@@ -20,6 +20,7 @@
     if (!isGapless) {
         // A version that was skipped may have used any service.
         m_followedSince = now;
+        ++m_generation;
     }
 }
 
@@ -60,8 +61,9 @@
 
 void RouteHistory::add(const Endpoint &route, ServiceId service, TimePoint deadline)
 {
-    TimePoint &latest = m_deadlines.try_emplace({route, service}, deadline).first->second;
-    latest = std::max(latest, deadline);
+    const auto [found, isNew] = m_deadlines.try_emplace({route, service}, deadline);
+    found->second = std::max(found->second, deadline);
+    m_generation += isNew ? 1 : 0;
 }
 
 void RouteHistory::onTick(TimePoint now)
--- a/packages/stream/routehistory.h
+++ b/packages/stream/routehistory.h
@@ -55,6 +55,12 @@
     /// Whether every service that may hold flows of a route is known.
     bool isComplete(TimePoint now) const;
 
+    /// Incremented when a former service becomes known and when the record begins anew: conclusions drawn before may be wrong.
+    quint64 generation() const
+    {
+        return m_generation;
+    }
+
     /// When a service is to be removed.
     TimePoint nextDeadline() const;
 
@@ -67,6 +73,7 @@
     std::map<std::pair<Endpoint, ServiceId>, TimePoint> m_deadlines;
     /// Since when the record is continuous.
     std::optional<TimePoint> m_followedSince;
+    quint64 m_generation = 0;
 };
 
 }
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -93,6 +93,19 @@
         return denial;
     }
 
+    /// The answer of an agent that has followed the versions for long, up to the given one.
+    static StreamMessage routeHistoryOf(int index, quint64 version, std::vector<FormerServiceReport> formerServices)
+    {
+        StreamMessage answer;
+        answer.kind = StreamMessageKind::RouteHistory;
+        answer.sender = agentAddress(index);
+        answer.configurationVersion = version;
+        answer.formerServices = std::move(formerServices);
+        answer.partCount = 1;
+        answer.followedMilliseconds = 120'000;
+        return answer;
+    }
+
     StreamActions reportNotHeld(TimePoint now, int index)
     {
         return receive(now, denialOf(index));
@@ -970,6 +983,25 @@
     EXPECT_FALSE(knowsAllTargets(settled + 1s));
 }
 
+// Guards against a reset of a flow that a skipped version has opened, by a lookup that was under way when the agent read the next one.
+TEST_F(StreamAgentTest, VersionsThatAreSkippedDuringALookupEndItWithoutAReset)
+{
+    const StreamMessage located = message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100));
+    receive(settled, located);
+    reportNotHeld(settled + 1ms, 2);
+    apply({RoutesPublished{200, routesTo(3, {{service, 1}})}}, settled + 2ms);
+    EXPECT_FALSE(resetsCaller(reportNotHeld(settled + 3ms, 3)));
+    // The same for a former service that a peer tells of.
+    receive(settled + 1s, routeHistoryOf(2, 3, {}));
+    receive(settled + 2s, located);
+    reportNotHeld(settled + 2001ms, 2);
+    receive(settled + 2002ms, routeHistoryOf(2, 3, {{route, otherService, 5000}}));
+    EXPECT_FALSE(resetsCaller(reportNotHeld(settled + 2003ms, 3)));
+    receive(settled + 3s, located);
+    reportNotHeld(settled + 3001ms, 2);
+    EXPECT_TRUE(resetsCaller(reportNotHeld(settled + 3002ms, 3)));
+}
+
 // Guards against a caller that waits in vain although its target is gone, because every agent was restarted lately.
 TEST_F(StreamAgentTest, RestartedAgentEndsLookupsOnceUnlistedTargetsAreKnown)
 {
