Judge denials of targets that were not asked when a lookup ends

A test shows a reset of an open flow whose target holds it.

Cause: an agent that cannot tell whether its target may hold a flow answers with an uncertain denial. It counted as the denial of the target if the record of the asking agent was complete when it arrived, even if it had become complete by a peer that told of this very service.

Change: uncertain denials stay apart with their service, for one round. A lookup ends only if the record excludes each of these services by then. The same for the own target.

--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -153,8 +153,8 @@
         return Outcome::Pending;
     }
     Lookup &lookup = found->second;
-    if (denial.isUncertain && !m_directory.routeHistory().isComplete(now)) {
-        lookup.uncertain.insert(denial.target);
+    if (denial.isUncertain) {
+        lookup.uncertain.insert_or_assign(denial.target, denial.service);
     } else {
         lookup.denied.insert(denial.target);
     }
@@ -176,8 +176,8 @@
     if (found == m_lookups.end()) {
         return Outcome::Pending;
     }
-    found->second.isOwnTargetUncertain = isUncertain && !m_directory.routeHistory().isComplete(now);
-    found->second.isDeniedByOwnTarget = !found->second.isOwnTargetUncertain;
+    found->second.isOwnTargetUncertain = isUncertain;
+    found->second.isDeniedByOwnTarget = found->second.isDeniedByOwnTarget || !isUncertain;
     return conclude(now, flow, found->second);
 }
 
@@ -186,7 +186,7 @@
     if (now >= lookup.roundDeadline) {
         return Outcome::Pending;
     }
-    if (!isConclusive(now, lookup)) {
+    if (!isConclusive(now, flow, lookup)) {
         const bool hasDenials = lookup.outstanding.empty() && lookup.unlisted.empty() && (lookup.isDeniedByOwnTarget || lookup.isOwnTargetUncertain);
         return hasDenials && !knowsAllTargets(now) && !lookup.informedAgent.isNull() ? Outcome::KnownElsewhere : Outcome::Pending;
     }
@@ -199,11 +199,18 @@
     return areUnlistedGone(now, lookup) ? Outcome::NotHeldByAny : Outcome::Pending;
 }
 
-bool FlowLookup::isConclusive(TimePoint now, const Lookup &lookup) const
+bool FlowLookup::isExcluded(TimePoint now, const FlowKey &flow, ServiceId service) const
+{
+    return m_directory.routeHistory().isComplete(now) && !m_directory.mayHoldFlows(flow.service, service);
+}
+
+bool FlowLookup::isConclusive(TimePoint now, const FlowKey &flow, const Lookup &lookup) const
 {
     // A service that has become known since the round began was not asked.
     const bool hasAskedAll = lookup.asksAllServices || lookup.historyGeneration == m_directory.routeHistory().generation();
-    const bool isCertain = lookup.uncertain.empty() && lookup.isDeniedByOwnTarget;
+    const bool isOwnTargetExcluded = lookup.isOwnTargetUncertain && isExcluded(now, flow, m_settings.service);
+    const bool isCertain = (lookup.isDeniedByOwnTarget || isOwnTargetExcluded)
+                           && std::ranges::all_of(lookup.uncertain, [this, now, &flow](const auto &item) { return isExcluded(now, flow, item.second); });
     return isCertain && hasAskedAll && lookup.outstanding.empty() && lookup.isDirectorySettled && now >= lookup.exhaustiveAfter && knowsAllPresentTargets(now);
 }
 
@@ -240,7 +247,8 @@
         const FlowKey flow = m_unlistedDeadlines.front().second;
         m_unlistedDeadlines.pop_front();
         const auto found = m_lookups.find(flow);
-        if (found != m_lookups.end() && now >= found->second.unlistedDeadline && isConclusive(now, found->second) && areUnlistedGone(now, found->second)) {
+        if (found != m_lookups.end() && now >= found->second.unlistedDeadline && isConclusive(now, flow, found->second)
+            && areUnlistedGone(now, found->second)) {
             unheld.push_back(flow);
         }
     }
--- a/packages/stream/flowlookup.h
+++ b/packages/stream/flowlookup.h
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -122,9 +123,9 @@
         /// source of the directory.
         std::set<TargetId> unlisted;
         TimePoint unlistedDeadline{};
-        /// Targets that have not been asked by their agents. They may hold the flow as long as the former services of its
-        /// route are not known.
-        std::set<TargetId> uncertain;
+        /// Targets that have not been asked by their agents, and their services. They may hold the flow unless the record shows that
+        /// its route has not used the service.
+        std::map<TargetId, ServiceId> uncertain;
         /// The same for the local target.
         bool isOwnTargetUncertain = false;
         /// Targets that do not hold the flow, and never will.
@@ -147,7 +148,9 @@
     bool sendProbe(TimePoint now, const Lookup &lookup, const TargetDirectory::Entry &entry, bool isServiceAllowed, StreamActions &actions);
     bool hasBudget(TimePoint now);
     bool knowsAllPresentTargets(TimePoint now) const;
-    bool isConclusive(TimePoint now, const Lookup &lookup) const;
+    bool isConclusive(TimePoint now, const FlowKey &flow, const Lookup &lookup) const;
+    /// Whether the route has not used the service while a flow of it can have been opened.
+    bool isExcluded(TimePoint now, const FlowKey &flow, ServiceId service) const;
     bool areUnlistedGone(TimePoint now, const Lookup &lookup) const;
     Outcome conclude(TimePoint now, const FlowKey &flow, const Lookup &lookup);
 
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -1002,6 +1002,34 @@
     EXPECT_TRUE(resetsCaller(reportNotHeld(settled + 3002ms, 3)));
 }
 
+// Guards against a denial by an agent that has not asked its target, taken for one of the target once the former services are known: the
+// service of the target may be one of them.
+TEST_F(StreamAgentTest, UncertainDenialOfAFormerServiceStaysUncertain)
+{
+    StreamTarget other = target(4);
+    other.service = otherService;
+    apply({TargetListed{150, other}, RoutesPublished{200, routesTo(3, {{service, 1}})}}, settled);
+    const StreamMessage located = message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100));
+    const auto denyByAll = [this](TimePoint now) {
+        for (const int index : {2, 3}) {
+            reportNotHeld(now, index);
+        }
+        StreamMessage denial = denialOf(4);
+        denial.service = otherService;
+        denial.isUncertain = true;
+        return receive(now, denial);
+    };
+    EXPECT_EQ(messages(receive(settled + 1s, located), StreamMessageKind::Probe).size(), 3) << "the agents of all services are asked";
+    receive(settled + 1001ms, routeHistoryOf(2, 3, {{route, otherService, 5000}}));
+    EXPECT_FALSE(resetsCaller(denyByAll(settled + 1002ms)));
+    EXPECT_EQ(messages(receive(settled + 2s, located), StreamMessageKind::Probe).size(), 1) << "the target is asked now";
+    // A service that the route has not used holds no flow of it.
+    apply({RoutesPublished{201, routesTo(5, {{service, 1}})}}, settled + 10s);
+    receive(settled + 10s, located);
+    receive(settled + 10001ms, routeHistoryOf(2, 5, {}));
+    EXPECT_TRUE(resetsCaller(denyByAll(settled + 10002ms)));
+}
+
 // Guards against a caller that waits in vain although its target is gone, because every agent was restarted lately.
 TEST_F(StreamAgentTest, RestartedAgentEndsLookupsOnceUnlistedTargetsAreKnown)
 {
