Let readers pull what their watch does not deliver

Cause: a reader fetched changes from the source only, also while the source refused it, although its peers had told it of each revision and serve the changes.

Change: a reader pulls from the peer that is ahead, and reads the source as well. While the source refuses its calls the process counts as one that does not watch. A pull interrupts a call that the source leaves without an answer.

ReadersPullWhatTheirWatchDoesNotDeliver fails before: updateSource() is null for a reader.

--- a/apps/rattanpickd/stream/directoryworker.cpp
+++ b/apps/rattanpickd/stream/directoryworker.cpp
@@ -129,6 +129,7 @@
     DirectoryBatch batch{answer.revision, std::move(answer.changes), isAvailable};
     if (m_isAvailable != isAvailable) {
         m_isAvailable = isAvailable;
+        m_context.isSourceAvailable = isAvailable;
         m_context.log.record(isAvailable ? EventNumber::PlatformReturned : EventNumber::PlatformUnavailable, answer.diagnostic);
     } else if (isAvailable && !answer.diagnostic.isEmpty()) {
         m_context.log.record(EventNumber::DirectoryEntryRefused, answer.diagnostic);
--- a/apps/rattanpickd/stream/streamcontext.h
+++ b/apps/rattanpickd/stream/streamcontext.h
@@ -67,6 +67,8 @@
     std::atomic<bool> isFullReadRequested = false;
     /// Whether this process is an elected reader: its directory worker watches the source on behalf of others.
     std::atomic<bool> isReader = false;
+    /// Whether the source has answered the latest call of the directory worker.
+    std::atomic<bool> isSourceAvailable = true;
     /// Peers from which the directory worker is to pull newer changes.
     BoundedRing<Endpoint> updateSources{changeRingSize};
     /// Seeds of changed settings, from the settings worker to the directory worker.
--- a/apps/rattanpickd/stream/streamworker.cpp
+++ b/apps/rattanpickd/stream/streamworker.cpp
@@ -195,7 +195,6 @@
     }
     if (m_context.isReader != m_decisions->isReader()) {
         m_context.isReader = m_decisions->isReader();
-        m_freshness.setReader(m_context.isReader);
         m_context.log.record(m_context.isReader ? EventNumber::ReaderElected : EventNumber::ReaderDismissed);
         m_context.directoryWakeup.notify();
     }
@@ -211,6 +210,7 @@
         }
     }
     checkDirectoryAge(now);
+    m_freshness.setReader(m_context.isReader && m_context.isSourceAvailable);
     if (m_freshness.takeDueVerification(now)) {
         m_context.isVerificationRequested = true;
         m_context.verificationWakeup.notify();
@@ -238,14 +238,18 @@
 void StreamWorker::requestChanges()
 {
     const Endpoint updateSource = m_freshness.updateSource();
-    if (updateSource.isNull()) {
+    if (!updateSource.isNull()) {
+        // All processes serve their directory on the same port.
+        m_context.updateSources.push({updateSource.address, m_context.settings.spread.port});
+        m_context.directoryWakeup.notify();
+    }
+    if (m_freshness.needsFullRead()) {
         m_context.log.record(EventNumber::WatchDeaf, QStringLiteral("the directory is at revision %1").arg(m_freshness.revision()));
         requestFullRead();
-        return;
+    } else if (!m_context.isSourceAvailable) {
+        // The pull must not wait for a call that the source leaves without an answer.
+        m_context.source.interrupt();
     }
-    // All processes serve their directory on the same port.
-    m_context.updateSources.push({updateSource.address, m_context.settings.spread.port});
-    m_context.directoryWakeup.notify();
 }
 
 void StreamWorker::requestFullRead()
--- a/packages/stream/freshnessmonitor.h
+++ b/packages/stream/freshnessmonitor.h
@@ -34,7 +34,7 @@
     /// The process at @p sender has reported its revision, which was verified @p age ago.
     void onPeerRevision(TimePoint now, const Endpoint &sender, quint64 revision, Duration age);
 
-    /// Sets whether this process watches the source on behalf of others.
+    /// Sets whether this process watches the source on behalf of others, and the source serves it.
     void setReader(bool isReader)
     {
         m_isReader = isReader;
@@ -54,10 +54,16 @@
     /// Whether to fetch a newer revision now; true once for each update.
     bool takeDueFetch(TimePoint now);
 
-    /// The process that reported the latest revision; null if it was the source, or if this process is a reader.
+    /// The process that reported the latest revision; null if it was the source.
     Endpoint updateSource() const
     {
-        return m_isReader ? Endpoint{} : m_updateSource;
+        return m_updateSource;
+    }
+
+    /// Whether a fetch reads the source as well: no process has the revision, or the watch of this one has not delivered it.
+    bool needsFullRead() const
+    {
+        return m_isReader || m_updateSource.isNull();
     }
 
     /// Whether to query peers for their revision now; true once in an interval.
--- a/tests/stream/directorywatchertest.cpp
+++ b/tests/stream/directorywatchertest.cpp
@@ -95,6 +95,21 @@
     EXPECT_EQ(watcher.next(start + 10s).kind, SourceCall::Kind::Wait);
 }
 
+// Guards against a reader that the source turns away and that waits for it before it asks a peer, and against one that gives up the source
+// after that.
+TEST(DirectoryWatcherTest, PullsGoBeforeTheSource)
+{
+    DirectoryWatcher watcher(DirectoryWatcherSettings{});
+    watcher.setReader(true);
+    watcher.onAnswer(start, read(41));
+    watcher.onAnswer(start + 1s, {SourceResult::Failed, 0, {}, {}});
+    watcher.requestFullRead();
+    watcher.requestPull({0x0a010001, 7721});
+    EXPECT_EQ(watcher.next(start + 1s).kind, SourceCall::Kind::Pull);
+    watcher.onPulled(start + 1s, 44);
+    EXPECT_EQ(watcher.next(start + 3s).kind, SourceCall::Kind::ReadAll);
+}
+
 // Guards against an update that is lost because the peer that announced it is gone.
 TEST(DirectoryWatcherTest, FailedPullLeadsToAFullRead)
 {
--- a/tests/stream/freshnessmonitortest.cpp
+++ b/tests/stream/freshnessmonitortest.cpp
@@ -106,6 +106,21 @@
     EXPECT_TRUE(monitor.takeDueFetch(start + 350ms));
 }
 
+// Guards against a reader that goes on with an outdated directory while the source turns it away, although its peers have the changes.
+TEST(FreshnessMonitorTest, ReadersPullWhatTheirWatchDoesNotDeliver)
+{
+    FreshnessMonitor monitor = monitorAt(12);
+    monitor.onPeerRevision(start + 100ms, peer, 13, 0ms);
+    ASSERT_TRUE(monitor.takeDueFetch(start + 100ms + FreshnessMonitorSettings{}.watchDelayLimit));
+    EXPECT_EQ(monitor.updateSource(), peer);
+    EXPECT_TRUE(monitor.needsFullRead()) << "the watch may be stalled for good";
+    // Once the source has refused a call, there is no watch to wait for.
+    monitor.setReader(false);
+    monitor.onPeerRevision(start + 1s, peer, 14, 0ms);
+    EXPECT_TRUE(monitor.takeDueFetch(start + 1s + FreshnessMonitorSettings{}.batchInterval));
+    EXPECT_FALSE(monitor.needsFullRead());
+}
+
 // Guards against a process that receives no messages and works with an outdated directory.
 TEST(FreshnessMonitorTest, StaleProcessesQueryPeers)
 {
