Limit how often processes pass a verification on

Cause: the age of a verification that a message tells lacks the time for which the message is under way, and receivers told it on, also back to the sender. Under a thousand new flows a second for each balancer it never grew, so that no process asked the source.

Change: VerificationAge counts the processes that have passed a verification on, in the lowest two bits of the age. After two it is not taken over any more. Messages keep their length, and earlier releases read an age that is up to 3 ms higher.

--- a/apps/rattanpickd/stream/streamworker.cpp
+++ b/apps/rattanpickd/stream/streamworker.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <limits>
 
 namespace Rattanpick
 {
@@ -311,7 +310,7 @@
             continue;
         }
         m_context.log.merge(message->lamport);
-        m_freshness.onPeerRevision(now, message->sender, message->directoryRevision, std::chrono::milliseconds(message->verifiedMilliseconds));
+        m_freshness.onPeerRevision(now, message->sender, message->directoryRevision, VerificationAge::fromWire(message->verification));
         m_decisions->onMessage(now, *message, m_actions);
     }
     executeActions(now);
@@ -353,8 +352,7 @@
     StreamMessage message = action.message;
     message.directoryRevision = m_freshness.revision();
     message.lamport = m_context.log.tick();
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_freshness.age(now)).count();
-    message.verifiedMilliseconds = static_cast<quint16>(std::min<std::int64_t>(age, std::numeric_limits<quint16>::max()));
+    message.verification = m_freshness.reportedVerification(now).toWire();
     m_outgoingMessages.push_back({action.to, encodeStreamMessage(message)});
 }
 
--- a/packages/stream/freshnessmonitor.cpp
+++ b/packages/stream/freshnessmonitor.cpp
@@ -27,7 +27,7 @@
         // An update straight from the source proves that the connection to it works. A peer reports its own age in
         // messages.
         if (isFromSource) {
-            markVerified(now);
+            markVerified(now, 0);
         }
     }
 }
@@ -36,7 +36,7 @@
 {
     m_isVerifying = false;
     m_verificationDeadline = now + m_settings.retryTime;
-    recordRevision(now, {}, revision, now - sentAt);
+    recordRevision(now, {}, revision, {now - sentAt, 0});
 }
 
 void FreshnessMonitor::onVerificationFailed(TimePoint now)
@@ -45,9 +45,9 @@
     m_verificationDeadline = now + m_settings.retryTime;
 }
 
-void FreshnessMonitor::onPeerRevision(TimePoint now, const Endpoint &sender, quint64 revision, Duration age)
+void FreshnessMonitor::onPeerRevision(TimePoint now, const Endpoint &sender, quint64 revision, const VerificationAge &verification)
 {
-    recordRevision(now, sender, revision, age);
+    recordRevision(now, sender, revision, {verification.age, static_cast<quint8>(verification.hopCount + 1)});
 }
 
 // Decisions
@@ -91,18 +91,25 @@
 
 Duration FreshnessMonitor::age(TimePoint now) const
 {
-    return now - m_verifiedAt;
+    return now - *std::ranges::max_element(m_verifiedAt);
 }
 
-void FreshnessMonitor::recordRevision(TimePoint now, const Endpoint &updateSource, quint64 revision, Duration age)
+VerificationAge FreshnessMonitor::reportedVerification(TimePoint now) const
+{
+    const auto latest = std::max_element(m_verifiedAt.begin(), m_verifiedAt.end() - 1);
+    return {now - *latest, static_cast<quint8>(latest - m_verifiedAt.begin())};
+}
+
+void FreshnessMonitor::recordRevision(TimePoint now, const Endpoint &updateSource, quint64 revision, const VerificationAge &verification)
 {
     if (revision > m_latestRevision) {
         m_latestRevision = revision;
         m_updateSource = updateSource;
         m_fetchDeadline = std::min(m_fetchDeadline, now + (m_isReader ? m_settings.watchDelayLimit : m_settings.batchInterval));
     }
-    if (revision == m_revision && revision == m_latestRevision) {
-        markVerified(now - age);
+    const bool isPassedOnTooOften = verification.hopCount > VerificationAge::maximumHopCount;
+    if (revision == m_revision && revision == m_latestRevision && !isPassedOnTooOften) {
+        markVerified(now - verification.age, verification.hopCount);
     }
 }
 
@@ -111,12 +118,13 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(from.count(), to.count())(m_random));
 }
 
-void FreshnessMonitor::markVerified(TimePoint time)
+void FreshnessMonitor::markVerified(TimePoint time, std::size_t hopCount)
 {
-    if (time <= m_verifiedAt) {
+    const bool isLatest = time > *std::ranges::max_element(m_verifiedAt);
+    m_verifiedAt.at(hopCount) = std::max(m_verifiedAt.at(hopCount), time);
+    if (!isLatest) {
         return;
     }
-    m_verifiedAt = time;
     Duration delay = randomDuration(m_settings.minimumVerificationAge, m_settings.maximumVerificationAge);
     if (!m_isReader) {
         delay += m_settings.nonReaderDelay;
--- a/packages/stream/freshnessmonitor.h
+++ b/packages/stream/freshnessmonitor.h
@@ -2,9 +2,11 @@
 
 #include "core/endpoint.h"
 #include "stream/freshnessmonitorsettings.h"
+#include "stream/verificationage.h"
 
 #include <QtGlobal>
 
+#include <array>
 #include <random>
 
 namespace Rattanpick
@@ -31,8 +33,8 @@
     /// A verification has failed.
     void onVerificationFailed(TimePoint now);
 
-    /// The process at @p sender has reported its revision, which was verified @p age ago.
-    void onPeerRevision(TimePoint now, const Endpoint &sender, quint64 revision, Duration age);
+    /// The process at @p sender has reported its revision and when that was verified.
+    void onPeerRevision(TimePoint now, const Endpoint &sender, quint64 revision, const VerificationAge &verification);
 
     /// Sets whether this process watches the source on behalf of others, and the source serves it.
     void setReader(bool isReader)
@@ -83,9 +85,12 @@
     /// Time since the revision was last verified to be the latest.
     Duration age(TimePoint now) const;
 
+    /// The latest verification that peers may take over from this process.
+    VerificationAge reportedVerification(TimePoint now) const;
+
 private:
-    void recordRevision(TimePoint now, const Endpoint &updateSource, quint64 revision, Duration age);
-    void markVerified(TimePoint time);
+    void recordRevision(TimePoint now, const Endpoint &updateSource, quint64 revision, const VerificationAge &verification);
+    void markVerified(TimePoint time, std::size_t hopCount);
     Duration randomDuration(Duration from, Duration to);
 
     FreshnessMonitorSettings m_settings;
@@ -93,7 +98,8 @@
     quint64 m_revision = 0;
     /// The highest revision that was reported by any process or the source.
     quint64 m_latestRevision = 0;
-    TimePoint m_verifiedAt{};
+    /// The latest verification by the number of processes that it has passed.
+    std::array<TimePoint, VerificationAge::maximumHopCount + 1> m_verifiedAt{};
     TimePoint m_verificationDeadline;
     TimePoint m_fetchDeadline = TimePoint::max();
     TimePoint m_queryDeadline;
--- a/packages/stream/streammessage.h
+++ b/packages/stream/streammessage.h
@@ -59,8 +59,8 @@
     quint64 configurationVersion = 0;
     /// Revision of the sender's directory; 0 before the first full read.
     quint64 directoryRevision = 0;
-    /// Time since that revision was verified to be the latest, in milliseconds; 65,535 also stands for longer.
-    quint16 verifiedMilliseconds = 0;
+    /// When that revision was verified to be the latest, as VerificationAge encodes it.
+    quint16 verification = 0;
     /// Lamport clock of the sender; orders the events of all processes.
     quint64 lamport = 0;
     /// The process that sent the message.
--- a/packages/stream/streammessagecodec.cpp
+++ b/packages/stream/streammessagecodec.cpp
@@ -88,8 +88,8 @@
     datagram.reserve(expectedSize);
     QDataStream stream(&datagram, QIODevice::WriteOnly);
     stream.setVersion(wireVersion);
-    stream << magic << message.kind << message.hopCount << message.configurationVersion << message.directoryRevision << message.verifiedMilliseconds
-           << message.lamport << message.sender << message.balancer << message.service << message.target << message.incarnation;
+    stream << magic << message.kind << message.hopCount << message.configurationVersion << message.directoryRevision << message.verification << message.lamport
+           << message.sender << message.balancer << message.service << message.target << message.incarnation;
     if (namesFlow(message.kind)) {
         stream << message.flow;
     }
@@ -125,7 +125,7 @@
     stream.setVersion(wireVersion);
     quint8 receivedMagic = 0;
     StreamMessage message;
-    stream >> receivedMagic >> message.kind >> message.hopCount >> message.configurationVersion >> message.directoryRevision >> message.verifiedMilliseconds
+    stream >> receivedMagic >> message.kind >> message.hopCount >> message.configurationVersion >> message.directoryRevision >> message.verification
         >> message.lamport >> message.sender >> message.balancer >> message.service >> message.target >> message.incarnation;
     requireWire(stream, receivedMagic == magic && message.kind >= StreamMessageKind::Opening && message.kind <= StreamMessageKind::TargetEnded);
     if (namesFlow(message.kind)) {
--- a/tests/stream/freshnessmonitortest.cpp
+++ b/tests/stream/freshnessmonitortest.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <deque>
+
 using namespace Rattanpick;
 
 namespace
@@ -63,7 +65,7 @@
     FreshnessMonitor monitor = monitorAt(12);
     for (int step = 0; step < 100; ++step) {
         const TimePoint now = start + step * 200ms;
-        monitor.onPeerRevision(now, peer, 12, 100ms);
+        monitor.onPeerRevision(now, peer, 12, {100ms, 0});
         EXPECT_FALSE(monitor.takeDueVerification(now));
     }
 }
@@ -72,7 +74,7 @@
 TEST(FreshnessMonitorTest, FetchWaitsForTheWatch)
 {
     FreshnessMonitor monitor = monitorAt(12);
-    monitor.onPeerRevision(start + 100ms, peer, 13, 0ms);
+    monitor.onPeerRevision(start + 100ms, peer, 13, {0ms, 0});
     monitor.onRevision(start + 500ms, 13, true);
     EXPECT_FALSE(monitor.takeDueFetch(start + 10s));
 }
@@ -98,11 +100,11 @@
 {
     FreshnessMonitor monitor = monitorAt(12);
     monitor.setReader(false);
-    monitor.onPeerRevision(start + 100ms, peer, 13, 0ms);
+    monitor.onPeerRevision(start + 100ms, peer, 13, {0ms, 0});
     EXPECT_TRUE(monitor.takeDueFetch(start + 150ms));
     EXPECT_EQ(monitor.updateSource(), peer);
     // After a failed fetch, the next message triggers another one.
-    monitor.onPeerRevision(start + 300ms, peer, 13, 0ms);
+    monitor.onPeerRevision(start + 300ms, peer, 13, {0ms, 0});
     EXPECT_TRUE(monitor.takeDueFetch(start + 350ms));
 }
 
@@ -110,13 +112,13 @@
 TEST(FreshnessMonitorTest, ReadersPullWhatTheirWatchDoesNotDeliver)
 {
     FreshnessMonitor monitor = monitorAt(12);
-    monitor.onPeerRevision(start + 100ms, peer, 13, 0ms);
+    monitor.onPeerRevision(start + 100ms, peer, 13, {0ms, 0});
     ASSERT_TRUE(monitor.takeDueFetch(start + 100ms + FreshnessMonitorSettings{}.watchDelayLimit));
     EXPECT_EQ(monitor.updateSource(), peer);
     EXPECT_TRUE(monitor.needsFullRead()) << "the watch may be stalled for good";
     // Once the source has refused a call, there is no watch to wait for.
     monitor.setReader(false);
-    monitor.onPeerRevision(start + 1s, peer, 14, 0ms);
+    monitor.onPeerRevision(start + 1s, peer, 14, {0ms, 0});
     EXPECT_TRUE(monitor.takeDueFetch(start + 1s + FreshnessMonitorSettings{}.batchInterval));
     EXPECT_FALSE(monitor.needsFullRead());
 }
@@ -129,7 +131,7 @@
     EXPECT_TRUE(monitor.takeDueQuery(start + 600ms));
     EXPECT_FALSE(monitor.takeDueQuery(start + 700ms));
     EXPECT_TRUE(monitor.takeDueQuery(start + 900ms));
-    monitor.onPeerRevision(start + 910ms, peer, 12, 0ms);
+    monitor.onPeerRevision(start + 910ms, peer, 12, {0ms, 0});
     EXPECT_FALSE(monitor.takeDueQuery(start + 1300ms));
 }
 
@@ -139,6 +141,56 @@
     FreshnessMonitor monitor(FreshnessMonitorSettings{}, start);
     monitor.onRevision(start, 12, false);
     EXPECT_GT(monitor.age(start), 1min);
-    monitor.onPeerRevision(start + 100ms, peer, 12, 300ms);
+    monitor.onPeerRevision(start + 100ms, peer, 12, {300ms, 0});
     EXPECT_EQ(monitor.age(start + 100ms), 300ms);
 }
+
+// Guards against processes that keep each other's verification young: the age that a message tells lacks the time that it was under way.
+// With a thousand messages a second no process asked the source for its revision any more while the readers were turned away.
+RC_GTEST_PROP(FreshnessMonitorTest, MessagesKeepNoVerificationYoung, ())
+{
+    const auto interval = std::chrono::microseconds(*rc::gen::inRange(200, 20'000));
+    const auto underway = std::chrono::microseconds(*rc::gen::inRange(100, 20'000));
+    std::vector<FreshnessMonitor> monitors;
+    const std::size_t processes = *rc::gen::inRange<std::size_t>(2, 6);
+    for (std::size_t index = 0; index < processes; ++index) {
+        monitors.emplace_back(FreshnessMonitorSettings{.seed = index + 1}, start);
+        monitors.back().setIsolated(false);
+        monitors.back().onRevision(start, 12, index == 0);
+    }
+    struct Sent
+    {
+        TimePoint arrival;
+        std::size_t from = 0;
+        quint16 verification = 0;
+    };
+    std::deque<Sent> sent;
+    std::size_t round = 0;
+    for (TimePoint now = start; now < start + 3s; now += interval) {
+        for (; !sent.empty() && sent.front().arrival <= now; sent.pop_front()) {
+            const std::size_t to = (sent.front().from + 1 + round++ % (processes - 1)) % processes;
+            monitors[to].onPeerRevision(now, peer, 12, VerificationAge::fromWire(sent.front().verification));
+        }
+        for (std::size_t index = 0; index < processes; ++index) {
+            if (monitors[index].takeDueVerification(now)) {
+                return;
+            }
+            sent.push_back({now + underway, index, monitors[index].reportedVerification(now).toWire()});
+        }
+    }
+    RC_FAIL("no process asks the source");
+}
+
+// Guards against a verification that is passed on for ever, and against a process that keeps its own one to itself.
+TEST(FreshnessMonitorTest, VerificationsArePassedOnTwice)
+{
+    FreshnessMonitor monitor = monitorAt(12);
+    EXPECT_EQ(monitor.reportedVerification(start + 100ms), (VerificationAge{100ms, 0}));
+    monitor.onPeerRevision(start + 500ms, peer, 12, {100ms, 0});
+    EXPECT_EQ(monitor.reportedVerification(start + 500ms), (VerificationAge{100ms, 1}));
+    monitor.onPeerRevision(start + 800ms, peer, 12, {100ms, 1});
+    EXPECT_EQ(monitor.age(start + 800ms), 100ms);
+    EXPECT_EQ(monitor.reportedVerification(start + 800ms), (VerificationAge{400ms, 1}));
+    monitor.onPeerRevision(start + 900ms, peer, 12, {0ms, 2});
+    EXPECT_EQ(monitor.age(start + 900ms), 200ms);
+}
--- a/tests/stream/streammessagecodectest.cpp
+++ b/tests/stream/streammessagecodectest.cpp
@@ -17,7 +17,7 @@
     message.hopCount = *rc::gen::arbitrary<quint8>();
     message.configurationVersion = *rc::gen::arbitrary<quint64>();
     message.directoryRevision = *rc::gen::arbitrary<quint64>();
-    message.verifiedMilliseconds = *rc::gen::arbitrary<quint16>();
+    message.verification = *rc::gen::arbitrary<quint16>();
     message.lamport = *rc::gen::arbitrary<quint64>();
     message.sender = {*rc::gen::arbitrary<quint32>(), *rc::gen::arbitrary<quint16>()};
     message.balancer = {*rc::gen::arbitrary<quint32>(), *rc::gen::arbitrary<quint16>()};
