Do not trust an entry that only peers have served since the start

Cause: an agent that starts while the source does not answer takes the entry of its target from a peer. It was written by the process before, and says that the target is warm. ColdTarget distrusted entries only if the agent had seen the end of that process itself.

Change: until the source has been read since the start of the agent, or another entry is published, the target is cold for the cold time of its service. FullReadCompleted tells where a read came from.

EntryThatOnlyPeersHaveMayDescribeAnEarlierProcess and SourceConfirmsTheEntry cannot be built before; without the condition in isOutdated() both fail. test_stream passes but for the known red TargetProbationTest case.

--- a/packages/stream/coldtarget.cpp
+++ b/packages/stream/coldtarget.cpp
@@ -11,12 +11,14 @@
 ColdTarget::ColdTarget(const StreamAgentSettings &settings, const TargetDirectory &directory, TimePoint now)
     : m_settings(settings)
     , m_directory(directory)
+    , m_agentStart(now)
     , m_spentDeadline(now + ColdLimit::window)
 {
 }
 
-void ColdTarget::onDirectoryRead()
+void ColdTarget::onDirectoryRead(bool isFromSource)
 {
+    m_hasReadSource = m_hasReadSource || isFromSource;
     const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
     if (!m_hasRead && own != nullptr) {
         m_firstListed = own->target.incarnation;
@@ -53,8 +55,18 @@
 {
     const std::optional<TimePoint> returnedAt = m_directory.returnTime(m_settings.dataCentre);
     const bool hasJustReturned = returnedAt && now < *returnedAt + std::max(coldTime, m_settings.returnColdTime);
-    const bool isEntryOutdated = m_startedAt && m_ended == own.target.incarnation && now < *m_startedAt + coldTime;
-    return now < own.target.coldDeadline || hasJustReturned || isEntryOutdated;
+    return now < own.target.coldDeadline || hasJustReturned || isOutdated(now, own, coldTime);
+}
+
+bool ColdTarget::isOutdated(TimePoint now, const TargetDirectory::Entry &own, Duration coldTime) const
+{
+    if (m_startedAt && m_ended == own.target.incarnation && now < *m_startedAt + coldTime) {
+        return true;
+    }
+    // After a loss of power agent and target start together. While the source does not answer, the entry that peers serve may be that of
+    // the process before.
+    const bool isConfirmed = m_hasReadSource || m_firstListed != own.target.incarnation;
+    return !isConfirmed && now < std::max(m_agentStart, m_startedAt.value_or(m_agentStart)) + coldTime;
 }
 
 TimePoint ColdTarget::spentUntil() const
--- a/packages/stream/coldtarget.h
+++ b/packages/stream/coldtarget.h
@@ -12,8 +12,8 @@
 
 /// Decides whether the local target is cold, and whether openings may have reached it that this process has not seen.
 ///
-/// Two restarts make the entry of the target insufficient. An earlier process of the agent may have admitted openings until
-/// it ended, and the target may have started again while its entry still describes the process before.
+/// Restarts make the entry of the target insufficient. An earlier process of the agent may have admitted openings until it ended, and the
+/// target may have started again while its entry still describes the process before: seen by this process, or before it started.
 class ColdTarget
 {
 public:
@@ -22,8 +22,8 @@
 
     // Input
 
-    /// The directory was read completely.
-    void onDirectoryRead();
+    /// The directory was read completely, from the source or from a peer.
+    void onDirectoryRead(bool isFromSource);
 
     /// The process of the target has ended.
     void onTargetEnded();
@@ -41,11 +41,16 @@
 
 private:
     bool isCold(TimePoint now, const TargetDirectory::Entry &own, Duration coldTime) const;
+    /// Whether the entry may describe a process of the target from before the latest start that is possible.
+    bool isOutdated(TimePoint now, const TargetDirectory::Entry &own, Duration coldTime) const;
 
     const StreamAgentSettings &m_settings;
     const TargetDirectory &m_directory;
+    /// When the process of the agent has started.
+    TimePoint m_agentStart;
     TimePoint m_spentDeadline;
     bool m_hasRead = false;
+    bool m_hasReadSource = false;
     /// The target that was listed when this process read the directory first; balancers may have used it before.
     std::optional<Incarnation> m_firstListed;
     /// The entry of the process that has ended last.
--- a/packages/stream/directorychange.h
+++ b/packages/stream/directorychange.h
@@ -57,6 +57,8 @@
     quint64 revision = 0;
     QSet<QString> targets;
     QSet<QString> dataCentresOut;
+    /// Whether this process has read the source itself; a peer may serve what it read before this process has started.
+    bool isFromSource = false;
 
     bool operator==(const FullReadCompleted &) const = default;
 };
--- a/packages/stream/openingfence.cpp
+++ b/packages/stream/openingfence.cpp
@@ -49,10 +49,10 @@
     m_coldTarget.onTargetStarted(now);
 }
 
-void OpeningFence::onDirectoryRead()
+void OpeningFence::onDirectoryRead(bool isFromSource)
 {
     m_suspensionDeadline = {};
-    m_coldTarget.onDirectoryRead();
+    m_coldTarget.onDirectoryRead(isFromSource);
 }
 
 OpeningRefusal OpeningFence::admit(TimePoint now, const StreamMessage &message, const Endpoint &route)
--- a/packages/stream/openingfence.h
+++ b/packages/stream/openingfence.h
@@ -74,8 +74,8 @@
         m_suspensionDeadline = deadline;
     }
 
-    /// The directory was read completely; ends the suspension.
-    void onDirectoryRead();
+    /// The directory was read completely, from the source or from a peer; ends the suspension.
+    void onDirectoryRead(bool isFromSource);
 
 private:
     const StreamAgentSettings &m_settings;
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -60,8 +60,8 @@
 void StreamAgent::onDirectoryChange(TimePoint now, const DirectoryChange &change, StreamActions & /*actions*/)
 {
     m_directory.apply(now, change);
-    if (std::holds_alternative<FullReadCompleted>(change)) {
-        m_fence.onDirectoryRead();
+    if (const auto *completed = std::get_if<FullReadCompleted>(&change)) {
+        m_fence.onDirectoryRead(completed->isFromSource);
     }
     if (const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target)) {
         onOwnTargetListed(own->target);
--- a/tests/stream/coldtargettest.cpp
+++ b/tests/stream/coldtargettest.cpp
@@ -40,11 +40,11 @@
         }
     }
 
-    void readDirectory(TimePoint now, const std::vector<StreamTarget> &targets)
+    void readDirectory(TimePoint now, const std::vector<StreamTarget> &targets, bool isFromSource = true)
     {
         apply(now, reading(targets));
         apply(now, {RoutesPublished{110, routes(2, {route}, coldLimit)}});
-        m_cold.onDirectoryRead();
+        m_cold.onDirectoryRead(isFromSource);
     }
 
     StreamAgentSettings m_settings = agentSettings();
@@ -70,7 +70,7 @@
     apply(start + 200ms, {TargetListed{200, coldTarget(start + 5s, 2)}});
     EXPECT_EQ(m_cold.limit(start + 200ms), coldLimit);
     EXPECT_EQ(m_cold.spentUntil(), TimePoint{});
-    m_cold.onDirectoryRead();
+    m_cold.onDirectoryRead(true);
     EXPECT_EQ(m_cold.spentUntil(), TimePoint{}) << "only the first read tells what was listed before";
 }
 
@@ -90,6 +90,28 @@
     EXPECT_EQ(m_cold.limit(start + 20100ms), 0) << "the entry of the new process decides";
 }
 
+// Guards against full load on a target that has lost power together with its agent while the source does not answer: peers serve the entry
+// of the process before, which was warm.
+TEST_F(ColdTargetTest, EntryThatOnlyPeersHaveMayDescribeAnEarlierProcess)
+{
+    readDirectory(start + 70ms, {target(1, 1)}, false);
+    EXPECT_EQ(m_cold.limit(start + 1999ms), coldLimit);
+    EXPECT_EQ(m_cold.limit(start + 2s), 0) << "its cold time is over";
+    m_cold.onTargetStarted(start + 2s);
+    EXPECT_EQ(m_cold.limit(start + 3s), coldLimit) << "it has started after its agent";
+    apply(start + 3s, {TargetListed{200, target(1, 2)}});
+    EXPECT_EQ(m_cold.limit(start + 3s), 0) << "a new entry describes the new process";
+}
+
+// Guards against a warm target that is limited although the source has confirmed its entry since the agent has started.
+TEST_F(ColdTargetTest, SourceConfirmsTheEntry)
+{
+    readDirectory(start + 70ms, {target(1, 1)}, false);
+    EXPECT_EQ(m_cold.limit(start + 80ms), coldLimit);
+    m_cold.onDirectoryRead(true);
+    EXPECT_EQ(m_cold.limit(start + 80ms), 0);
+}
+
 // Guards against a warm target that is limited because its new entry arrives before its agent notices the start.
 TEST_F(ColdTargetTest, EntryOfTheNewProcessMayArriveFirst)
 {
@@ -117,7 +139,7 @@
             directory.apply(now, change);
         }
         directory.apply(now, RoutesPublished{110, routes(2, {route}, coldLimit)});
-        cold.onDirectoryRead();
+        cold.onDirectoryRead(true);
         for (const int gap : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 120))) {
             now += std::chrono::milliseconds(gap);
             limit.setLimit(cold.limit(now));
--- a/tests/stream/openingfencetest.cpp
+++ b/tests/stream/openingfencetest.cpp
@@ -138,7 +138,7 @@
 {
     m_fence.suspendUntil(start + 1s);
     EXPECT_EQ(admit(start + 500ms), OpeningRefusal::Outdated);
-    m_fence.onDirectoryRead();
+    m_fence.onDirectoryRead(true);
     EXPECT_EQ(admit(start + 500ms), OpeningRefusal::None);
 }
 
--- a/tests/stream/streamtestdata.h
+++ b/tests/stream/streamtestdata.h
@@ -73,6 +73,7 @@
     std::vector<DirectoryChange> changes{SourceSwitched{true, {}}, RoutesPublished{1, routes()}};
     FullReadCompleted completed;
     completed.revision = revision;
+    completed.isFromSource = true;
     quint64 number = 0;
     for (const StreamTarget &item : targets) {
         changes.emplace_back(TargetListed{++number, item});
