Note the return of a data centre whose order was skipped

Callers saw: not seen by users; cold targets of a data centre that has just returned may get full load until their entries tell that they are cold.

Cause: a process noted the return only if it had seen the data centre out. A pull brings the latest change of each object, so that an order and its removal between two pulls show as a removal alone.

Change: a removal that is later than all that was read of the data centre counts as a return, except in the first read.

Result: TargetDirectoryTest.ReturnShowsThatTheDataCentreWasOut fails before at two places and passes now, with all other cases of TargetDirectoryTest.

--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -136,10 +136,12 @@
     if (change.revision < state.revision) {
         return;
     }
-    state.revision = change.revision;
-    if (state.isOut && !change.isOut) {
+    // A return that is later than all that was read shows an order in between that this process has skipped.
+    const bool hasSkippedOrder = m_isComplete && change.revision > state.revision;
+    if (!change.isOut && (state.isOut || hasSkippedOrder)) {
         state.returnedAt = now;
     }
+    state.revision = change.revision;
     state.isOut = change.isOut;
     ++m_generation;
 }
--- a/tests/stream/targetdirectorytest.cpp
+++ b/tests/stream/targetdirectorytest.cpp
@@ -252,6 +252,21 @@
     EXPECT_EQ(directory.returnTime(QStringLiteral("dc1")), start + 1s);
 }
 
+// Guards against full load on the cold targets of a data centre that was out and has returned between two pulls: the peer tells the
+// return only.
+TEST(TargetDirectoryTest, ReturnShowsThatTheDataCentreWasOut)
+{
+    const QString name = QStringLiteral("dc1");
+    TargetDirectory directory = directoryWith(reading({target(1)}));
+    directory.apply(start + 5s, DataCentreSwitched{110, name, false});
+    EXPECT_EQ(directory.returnTime(name), start + 5s);
+    directory.apply(start + 6s, DataCentreSwitched{110, name, false});
+    EXPECT_EQ(directory.returnTime(name), start + 5s) << "a copy";
+    TargetDirectory started({.agentPort = agentPort});
+    started.apply(start, DataCentreSwitched{110, name, false});
+    EXPECT_FALSE(started.returnTime(name)) << "the first read tells of returns of any time";
+}
+
 // Guards against a drain whose start is reset by a later report of the same state.
 TEST(TargetDirectoryTest, DrainCountsFromItsFirstReport)
 {
