Fix findings of the linter

Cause: std::ranges::rotate on a vector does not compile with the linter's front end, and two vectors of an older test grow in a loop although their length is known.

Change: std::rotate; the vectors reserve.

--- a/packages/stream/routehistoryqueries.cpp
+++ b/packages/stream/routehistoryqueries.cpp
@@ -54,7 +54,7 @@
         }
     }
     if (!others.empty()) {
-        std::ranges::rotate(others, others.begin() + static_cast<std::ptrdiff_t>(m_settings.endpoint.address % others.size()));
+        std::rotate(others.begin(), others.begin() + static_cast<std::ptrdiff_t>(m_settings.endpoint.address % others.size()), others.end());
     }
     peers.insert(peers.end(), others.begin(), others.end());
     std::erase(peers, m_settings.endpoint);
--- a/tests/stream/targetdirectorytest.cpp
+++ b/tests/stream/targetdirectorytest.cpp
@@ -59,6 +59,7 @@
     std::iota(indices.begin(), indices.end(), 0);
     std::ranges::sort(indices, {}, [&order](std::size_t index) { return std::pair(order[index], index); });
     std::vector<DirectoryChange> shuffled;
+    shuffled.reserve(indices.size());
     for (const std::size_t index : indices) {
         shuffled.push_back(listings[index]);
     }
@@ -150,6 +151,7 @@
         }
     }
     std::vector<QString> expected;
+    expected.reserve(holders.size());
     for (const auto &[address, listed] : holders) {
         expected.push_back(listed.target.name);
     }
