--- a/tests/stream/verificationagetest.cpp
+++ b/tests/stream/verificationagetest.cpp
@@ -5,8 +5,8 @@
 
 using namespace Rattanpick;
 
-// Guards against an age that is told lower than it is, which makes a directory seem more recent, and against an overflow.
-RC_GTEST_PROP(VerificationAgeTest, AgesAreNeverToldLower, ())
+// Guards against an age that is reported lower than it is, so that a directory seems more recent, and against an overflow.
+RC_GTEST_PROP(VerificationAgeTest, AgesAreNeverReportedLower, ())
 {
     const auto age = std::chrono::microseconds(*rc::gen::inRange<std::int64_t>(0, 65'000'000));
     const auto hopCount = *rc::gen::inRange<quint8>(0, 4);
