--- a/packages/stream/coldtarget.h
+++ b/packages/stream/coldtarget.h
@@ -41,7 +41,7 @@
 
 private:
     bool isCold(TimePoint now, const TargetDirectory::Entry &own, Duration coldTime) const;
-    /// Whether the entry may describe a process of the target from before the latest start that is possible.
+    /// Whether the entry may describe an earlier process of the target than the one that runs now.
     bool isOutdated(TimePoint now, const TargetDirectory::Entry &own, Duration coldTime) const;
 
     const StreamAgentSettings &m_settings;
--- a/packages/stream/directoryreaders.h
+++ b/packages/stream/directoryreaders.h
@@ -18,7 +18,7 @@
 /// Endpoints of the agents that are readers of the data centre.
 std::vector<Endpoint> ofDataCentre(const TargetDirectory &directory, const QString &dataCentre);
 
-/// Endpoints of the readers of all data centres, those of the given one first.
+/// Endpoints of the readers of all data centres, those of @p firstDataCentre first.
 std::vector<Endpoint> ofAll(const TargetDirectory &directory, const QString &firstDataCentre);
 
 /// Endpoints to query for the directory revision: the readers of the data centre and one other agent, picked by @p
--- a/packages/stream/routehistory.h
+++ b/packages/stream/routehistory.h
@@ -16,7 +16,8 @@
 ///
 /// A new version leaves open flows where they are, so that a flow may be held by a target of a service that its route no
 /// longer uses. The record of a process is continuous since a point in time if the process has seen every version since then, or
-/// a peer has that has shared its record. What the record lacks was in force at no time since then; before it, anything may have been.
+/// a peer has that has shared its record. A route has not used a service since then that the record lacks; of the time before, nothing
+/// is known.
 class RouteHistory
 {
 public:
--- a/packages/stream/routehistoryqueries.cpp
+++ b/packages/stream/routehistoryqueries.cpp
@@ -44,8 +44,8 @@
 
 std::vector<Endpoint> RouteHistoryQueries::receivers() const
 {
-    // Readers see every version while the source serves them. Those of other data centres follow the own one, which may have skipped
-    // versions as well; then the other agents, each process from another one on.
+    // Readers see every version while the source serves them. The reader of the own data centre may have skipped the same versions,
+    // then those of the others are asked, and then all other agents; processes begin with different ones.
     std::vector<Endpoint> peers = DirectoryReaders::ofAll(m_directory, m_settings.dataCentre);
     std::vector<Endpoint> others;
     for (const auto &[id, entry] : m_directory.entries()) {
--- a/packages/stream/routehistoryqueries.h
+++ b/packages/stream/routehistoryqueries.h
@@ -13,7 +13,7 @@
 /// Decides when an agent asks which peer for the former services of the routes.
 ///
 /// An agent does not see the versions from before its start, nor those that were replaced before it read them. It asks until its
-/// record is complete: no peer, no answer and no time-out stand for a record that has no gap.
+/// record is complete; a missing answer or an expired time-out does not make it complete.
 class RouteHistoryQueries
 {
 public:
