Review case 12: restarted targets count as warm after a loss of power

Cause: an agent takes the entry that it reads at its start as confirmed, although it describes the target's process before the loss of power.

--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -25,7 +25,9 @@
 from proof.soak import run as soak  # noqa: E402
 from proof.soak.deployment import Deployment  # noqa: E402
 from proof.soak.history import History  # noqa: E402
+from proof.soak.segments import SYN  # noqa: E402
 from proof.soak.store import Store  # noqa: E402
+from proof.soak.targets import Target  # noqa: E402
 
 PROGRAM = "target/apps/rattanpickd/rattanpickd"
 
@@ -99,16 +101,41 @@
     _handlers = {**Store._handlers, "/rattanpick/kv-watch": _watch}
 
 
+class ReviewTarget(Target):
+    """A target that records when the openings that it takes were sent first, and when they arrived."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self.taken = []
+
+    def _open(self, key, segment):
+        known = self._flows.get(key)
+        super()._open(key, segment)
+        if self._flows.get(key) is not known:
+            self.taken.append((self.deployment.sent_first[(segment.source, segment.sequence)], self.history.clock()))
+
+    def count_within(self, seconds):
+        """The most openings that were both sent and taken within a span of the length, of those taken so far."""
+        most = 0
+        for begin, _ in self.taken:
+            most = max(most, sum(sent >= begin and arrived <= begin + seconds for sent, arrived in self.taken))
+        return most
+
+
 class ReviewDeployment(Deployment):
     """A deployment with the settings of the deploy templates."""
 
     async def start(self):
-        original = soak_module.Store
-        soak_module.Store = ReviewStore
-        try:
-            await super().start()
-        finally:
-            soak_module.Store = original
+        # When the first copy of each opening was sent, by the caller's endpoint and sequence number.
+        self.sent_first = {}
+        soak_module.Store, soak_module.Target = ReviewStore, ReviewTarget
+        await super().start()
+        send = self.router.send
+        self.router.send = lambda segment: (self.note_sent(segment), send(segment))
+
+    def note_sent(self, segment):
+        if segment.flags & SYN:
+            self.sent_first.setdefault((segment.source, segment.sequence), self.history.clock())
 
     def write_settings(self, machine, is_initial_start=False):
         super().write_settings(machine, is_initial_start)
@@ -129,6 +156,21 @@
     await asyncio.wait(tasks)
 
 
+async def run_openings(deployment, per_second, seconds):
+    """Short flows on the first route at random times."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    route = list(deployment.routes)[0]
+    open_requests = set()
+    while loop.time() < end:
+        task = asyncio.create_task(deployment.random.choice(deployment.callers).run_short_flow("unsafe", route))
+        open_requests.add(task)
+        task.add_done_callback(open_requests.discard)
+        await asyncio.sleep(deployment.random.expovariate(per_second))
+    if open_requests:
+        await asyncio.wait(open_requests, timeout=5)
+
+
 class Case:
     """One run of a case: its deployment, its record and its verdict."""
 
