--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -13,6 +13,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -29,6 +30,8 @@
 from proof.soak.store import Store  # noqa: E402
 from proof.soak.targets import Target  # noqa: E402
 
+# A case may take 120 seconds.
+LIMIT_SECONDS = 110
 PROGRAM = "target/apps/rattanpickd/rattanpickd"
 
 
@@ -192,6 +195,8 @@
     async def _run(self, play, temporary, slot, deployment_class, seed):
         # Connections that the end of the run cuts off are not worth a message.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        # A script that is stopped ends the processes that it started, too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         history = History(asyncio.get_running_loop().time)
         daemons = {role: [str(ROOT / PROGRAM)] for role in ("balancer", "agent")}
         deployment = deployment_class(history, random.Random(seed), slot, temporary, daemons, self.size)
@@ -217,8 +222,8 @@
         temporary = pathlib.Path(tempfile.mkdtemp(prefix="rattanpick-review-"))
         slot, reservation = soak.reserve_slot()
         try:
-            has_run = asyncio.run(self._run(play, temporary, slot, deployment_class, seed))
-        except Exception as error:
+            has_run = asyncio.run(asyncio.wait_for(self._run(play, temporary, slot, deployment_class, seed), LIMIT_SECONDS))
+        except (Exception, asyncio.CancelledError) as error:
             self.note("the case could not run: " + traceback.format_exc())
             print(f"the case could not run: {error!r}")
             has_run = False
