--- a/review/12/drain.py
+++ b/review/12/drain.py
@@ -12,7 +12,7 @@
 
 OTHER_WRITER_SECONDS = 0.5
 # How long the target serves after the store has accepted its drain.
-LEAVE_SECONDS = 10.0
+LEAVE_SECONDS = 10
 OPENINGS_PER_SECOND = 100
 
 
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -17,7 +17,7 @@
 CRASH_SECONDS, START_SECONDS = 1.0, 2.8
 # The first registration of the new process is lost in the cut; it writes again after a heartbeat.
 HEARTBEAT_SECONDS = 1.2
-ROUNDS, ROUND_SECONDS = 3, 10.0
+ROUNDS, ROUND_SECONDS = 3, 10
 OPENINGS_PER_SECOND = 200
 LIMIT = COLD_OPENINGS_PER_SECOND * COLD_FACTOR + COLD_SLACK
 
