--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -41,6 +41,8 @@
     def __init__(self, history, chance):
         super().__init__(history, chance)
         self.era = 1
+        # Processes whose watches wait, or whose answers to one are on their way.
+        self.watching = set()
         self._copies = []
         self._writers = set()
         self._keep_copy()
@@ -88,6 +90,15 @@
         finally:
             self._writers.discard(writer)
 
+    async def _answer(self, process, path, writer):
+        if not path.startswith("/rattanpick/kv-watch"):
+            return await super()._answer(process, path, writer)
+        self.watching.add(process)
+        try:
+            return await super()._answer(process, path, writer)
+        finally:
+            self.watching.discard(process)
+
     async def _send(self, writer, status, body):
         text = json.dumps(body).encode()
         writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
@@ -128,10 +139,12 @@
 class ReviewDeployment(Deployment):
     """A deployment with the settings of the deploy templates."""
 
+    target_class = ReviewTarget
+
     async def start(self):
         # When the first copy of each opening was sent, by the caller's endpoint and sequence number.
         self.sent_first = {}
-        soak_module.Store, soak_module.Target = ReviewStore, ReviewTarget
+        soak_module.Store, soak_module.Target = ReviewStore, self.target_class
         await super().start()
         send = self.router.send
         self.router.send = lambda segment: (self.note_sent(segment), send(segment))
