--- a/review/lib-3/clock-jump/case.py
+++ b/review/lib-3/clock-jump/case.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "lib-3"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 from harness import Case, run_traffic  # noqa: E402
 
