--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -43,6 +43,9 @@
         self.era = 1
         # Processes whose watches wait, or whose answers to one are on their way.
         self.watching = set()
+        # By process, how much longer than to the nearest ones its answers are on their way, in seconds.
+        self.distances = {}
+        self._processes = {}
         self._copies = []
         self._writers = set()
         self._keep_copy()
@@ -85,10 +88,12 @@
 
     async def _serve(self, process, reader, writer):
         self._writers.add(writer)
+        self._processes[writer] = process
         try:
             await super()._serve(process, reader, writer)
         finally:
             self._writers.discard(writer)
+            self._processes.pop(writer)
 
     async def _answer(self, process, path, writer):
         if not path.startswith("/rattanpick/kv-watch"):
@@ -100,6 +105,9 @@
             self.watching.discard(process)
 
     async def _send(self, writer, status, body):
+        distance = self.distances.get(self._processes.get(writer), 0)
+        if distance > 0:
+            await asyncio.sleep(distance)
         text = json.dumps(body).encode()
         writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nStore-Era: %d\r\nContent-Length: %d\r\n\r\n"
                      % (status, self.era, len(text)) + text)
