Refuse entries of targets that lack a field, their start included

Cause: the decoder took born for optional. An entry of another writer without it named the target at its address, since the latest entry does. Lookups waited for the answer on behalf of the entry that names the address only, and its denial, of another service, ended them.

A lookup asks on behalf of each entry that is listed at an address.

Measured: StoreDecoderTest.UnusableEntriesNameNoTarget fails on the commit before at born missing.

--- a/packages/stream/directoryimage.cpp
+++ b/packages/stream/directoryimage.cpp
@@ -16,7 +16,7 @@
 /// Limits the memory that a malformed batch can claim; the design size is about 20,000 targets and 2,000 routes.
 constexpr quint32 maximumCount = 1'000'000;
 
-/// Stands for the start of a target that did not tell it.
+/// Earlier releases send it for an entry that does not tell the start of its target.
 constexpr qint64 unknownStart = -1;
 
 enum class ChangeTag : quint8 {
@@ -144,8 +144,7 @@
         const StreamTarget &target = listed->target;
         begin(ChangeTag::Listed, listed->position);
         stream << target.name << target.incarnation << target.service << target.address << target.dataCentre << target.slotCount << target.isDraining
-               << remainingMilliseconds(now, target.coldDeadline)
-               << static_cast<qint64>(target.startTime ? target.startTime->time_since_epoch().count() : unknownStart);
+               << remainingMilliseconds(now, target.coldDeadline) << static_cast<qint64>(target.startTime.time_since_epoch().count());
     } else if (const auto *unlisted = std::get_if<TargetUnlisted>(&change)) {
         begin(ChangeTag::Unlisted, unlisted->position);
         stream << unlisted->name;
@@ -173,9 +172,10 @@
         qint64 startMilliseconds = unknownStart;
         stream >> target.name >> target.incarnation >> target.service >> target.address >> target.dataCentre >> target.slotCount >> target.isDraining
             >> coldMilliseconds >> startMilliseconds;
-        if (startMilliseconds != unknownStart) {
-            target.startTime = std::chrono::sys_time<std::chrono::milliseconds>(std::chrono::milliseconds(startMilliseconds));
+        if (startMilliseconds == unknownStart) {
+            return TargetUnlisted{position, target.name};
         }
+        target.startTime = std::chrono::sys_time<std::chrono::milliseconds>(std::chrono::milliseconds(startMilliseconds));
         target.id = targetIdOf(target.name.toUtf8());
         target.coldDeadline = coldMilliseconds > 0 ? now + std::chrono::milliseconds(coldMilliseconds) : TimePoint{};
         return TargetListed{position, std::move(target)};
--- a/packages/stream/flowlookup.cpp
+++ b/packages/stream/flowlookup.cpp
@@ -100,7 +100,8 @@
             // Its agent is asked on behalf of the target that has the address now.
             continue;
         }
-        if (entry.isPresent()) {
+        // An address may have entries of several writers. The latest one does not answer for a target of another service.
+        if (entry.isUsable()) {
             lookup.outstanding.insert(id);
         } else if (successor == nullptr) {
             lookup.unlisted.insert(id);
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -83,8 +83,7 @@
     m_targetIncarnation = target.incarnation;
     // The time of day may have been set back before this process started: a target that seems to have started long after it need not
     // have done so. If it really has, its port has refused a connection since.
-    const bool hasStartedWithThisProcess =
-        target.service == m_settings.service && target.startTime && abs(*target.startTime - m_settings.startTime) <= m_settings.commonStart;
+    const bool hasStartedWithThisProcess = target.service == m_settings.service && abs(target.startTime - m_settings.startTime) <= m_settings.commonStart;
     if (hasStartedWithThisProcess) {
         // The entry may be read late; flows that this process has removed since its start are still unknown.
         m_retention.forgetUnknown(m_startedAt);
--- a/packages/stream/streamtarget.h
+++ b/packages/stream/streamtarget.h
@@ -7,7 +7,6 @@
 #include <QString>
 
 #include <chrono>
-#include <optional>
 
 namespace Rattanpick
 {
@@ -27,8 +26,8 @@
     /// Number of requests that the target processes concurrently.
     quint32 slotCount = 1;
     bool isDraining = false;
-    /// Time of day at which its process has started; empty if it did not tell.
-    std::optional<std::chrono::sys_time<std::chrono::milliseconds>> startTime;
+    /// Time of day at which its process has started.
+    std::chrono::sys_time<std::chrono::milliseconds> startTime{};
     /// When the target stops being cold, according to the latest report.
     TimePoint coldDeadline{};
 
--- a/tests/platform/storedecodertest.cpp
+++ b/tests/platform/storedecodertest.cpp
@@ -88,6 +88,9 @@
         {"seq", "[]"},
         {"seq", ""},
         {"version", "{}"},
+        {"born", ""},
+        {"born", "null"},
+        {"born", "-1"},
         {"born", "\"now\""},
         {"born", "1.5"},
     };
--- a/tests/stream/streamagenttest.cpp
+++ b/tests/stream/streamagenttest.cpp
@@ -351,6 +351,22 @@
     EXPECT_TRUE(resetsCaller(reportNotHeld(settled + 302ms, 2)));
 }
 
+// Guards against a reset of an open flow because of an entry that another writer has left with the address of its target, and whose
+// denial is read first.
+TEST_F(StreamAgentTest, EveryEntryOfAnAddressIsAsked)
+{
+    StreamTarget foreign = target(2, 9);
+    foreign.service = otherService;
+    apply({RoutesPublished{150, routesTo(2, {{service, 1}, {otherService, 1}}), true}, TargetListed{200, foreign}});
+    const StreamActions probed = receive(settled, message(StreamMessageKind::Locate, callerSegment(AckFlag, 2, 1001, 100)));
+    EXPECT_EQ(messages(probed, StreamMessageKind::Probe).size(), 3);
+    StreamMessage denial = denialOf(2);
+    denial.target = foreign.id;
+    EXPECT_FALSE(resetsCaller(receive(settled, denial)));
+    EXPECT_FALSE(resetsCaller(reportNotHeld(settled, 3)));
+    EXPECT_TRUE(resetsCaller(reportNotHeld(settled, 2)));
+}
+
 // Guards against an unconfirmed flow that is reported as held: the target may not be running, and the caller would wait
 // in vain.
 TEST_F(StreamAgentTest, UnconfirmedFlowIsNotReportedAsHeld)
--- a/tests/stream/streamtestdata.h
+++ b/tests/stream/streamtestdata.h
@@ -46,6 +46,7 @@
     target.address = targetAddress(index);
     target.dataCentre = QStringLiteral("dc%1").arg(index % 3);
     target.slotCount = 2;
+    target.startTime = std::chrono::sys_time<std::chrono::milliseconds>(1h);
     target.isDraining = isDraining;
     return target;
 }
