Count a target as cold until its process is proven to be that of its entry

Cause: after a loss of power an agent reads the entry of the process before, which was warm, and took it as confirmed once the source had served it, although the target had not registered since.

Change: TargetIdentity decides whether the process of the target is the one of its entry. A refusal of such a target is logged as unproven.

Replaced test: SourceConfirmsTheEntry asked that an entry served by the source counts at once, which is the fault. EntryOfTheFirstReadMayDescribeAnEarlierProcess now holds for peers and for the source, and FlowsFromBeforeTheStartProveTheProcess guards the warm target that the old test meant.

With the first read of the source taken for proof, EntryOfTheFirstReadMayDescribeAnEarlierProcess fails for both readings.

--- a/packages/stream/coldtarget.cpp
+++ b/packages/stream/coldtarget.cpp
@@ -11,14 +11,14 @@
 ColdTarget::ColdTarget(const StreamAgentSettings &settings, const TargetDirectory &directory, TimePoint now)
     : m_settings(settings)
     , m_directory(directory)
-    , m_agentStart(now)
+    , m_identity(settings, directory, now)
     , m_spentDeadline(now + ColdLimit::window)
 {
 }
 
 void ColdTarget::onDirectoryRead(bool isFromSource)
 {
-    m_hasReadSource = m_hasReadSource || isFromSource;
+    m_identity.onDirectoryRead(isFromSource);
     const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
     if (!m_hasRead && own != nullptr) {
         m_firstListed = own->target.incarnation;
@@ -26,54 +26,42 @@
     m_hasRead = true;
 }
 
-void ColdTarget::onTargetEnded()
+std::size_t ColdTarget::limit(TimePoint now)
 {
     const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
-    m_ended.reset();
-    if (own != nullptr) {
-        m_ended = own->target.incarnation;
+    const StreamService *service = findService();
+    if (own == nullptr || service == nullptr || service->coldRequestsPerSecond <= 0) {
+        return 0;
     }
-}
-
-void ColdTarget::onTargetStarted(TimePoint now)
-{
-    m_startedAt = now;
-}
-
-std::size_t ColdTarget::limit(TimePoint now) const
-{
-    const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
-    const StreamService *service = m_directory.routes() != nullptr ? m_directory.routes()->findService(m_settings.service) : nullptr;
-    if (own == nullptr || service == nullptr || service->coldRequestsPerSecond <= 0 || !isCold(now, *own, service->coldTime)) {
+    const bool isProven = m_identity.isProven(now, *own, service->coldTime);
+    if (isProven && !isListedCold(now)) {
         return 0;
     }
     const double limit = std::floor(service->coldRequestsPerSecond * m_settings.coldFactor + m_settings.coldSlack);
     return static_cast<std::size_t>(std::max(1.0, limit));
 }
 
-bool ColdTarget::isCold(TimePoint now, const TargetDirectory::Entry &own, Duration coldTime) const
+bool ColdTarget::isListedCold(TimePoint now) const
 {
+    const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
+    const StreamService *service = findService();
     const std::optional<TimePoint> returnedAt = m_directory.returnTime(m_settings.dataCentre);
-    const bool hasJustReturned = returnedAt && now < *returnedAt + std::max(coldTime, m_settings.returnColdTime);
-    return now < own.target.coldDeadline || hasJustReturned || isOutdated(now, own, coldTime);
+    const Duration coldTime = service != nullptr ? std::max(service->coldTime, m_settings.returnColdTime) : m_settings.returnColdTime;
+    const bool hasJustReturned = returnedAt && now < *returnedAt + coldTime;
+    return hasJustReturned || (own != nullptr && now < own->target.coldDeadline);
 }
 
-bool ColdTarget::isOutdated(TimePoint now, const TargetDirectory::Entry &own, Duration coldTime) const
+TimePoint ColdTarget::spentUntil(TimePoint now) const
 {
-    if (m_startedAt && m_ended == own.target.incarnation && now < *m_startedAt + coldTime) {
-        return true;
-    }
-    // After a loss of power agent and target start together. While the source does not answer, the entry that peers serve may be that of
-    // the process before.
-    const bool isConfirmed = m_hasReadSource || m_firstListed != own.target.incarnation;
-    return !isConfirmed && now < std::max(m_agentStart, m_startedAt.value_or(m_agentStart)) + coldTime;
+    const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
+    const bool wasListedBefore = own != nullptr && m_firstListed == own->target.incarnation;
+    // A target that is cold for want of proof only has started after the earlier agent has ended, or is warm.
+    return wasListedBefore && now < own->target.coldDeadline ? m_spentDeadline : TimePoint{};
 }
 
-TimePoint ColdTarget::spentUntil() const
+const StreamService *ColdTarget::findService() const
 {
-    const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
-    const bool wasListedBefore = own != nullptr && m_firstListed == own->target.incarnation;
-    return wasListedBefore ? m_spentDeadline : TimePoint{};
+    return m_directory.routes() != nullptr ? m_directory.routes()->findService(m_settings.service) : nullptr;
 }
 
 }
--- a/packages/stream/heldflow.h
+++ b/packages/stream/heldflow.h
@@ -26,6 +26,8 @@
     };
 
     State state = State::Offered;
+    /// When the target has answered the opening; TimePoint{} if that was before this process has started.
+    TimePoint heldSince{};
     /// The balancer that sent the latest segment of the caller.
     Endpoint balancer;
     /// The agent that runs the lookup of the flow and is notified once the target has confirmed the flow; null if none.
--- a/packages/stream/openingfence.cpp
+++ b/packages/stream/openingfence.cpp
@@ -23,6 +23,7 @@
         "draining",
         "data-centre-out",
         "cold",
+        "unproven",
         "stopping",
         "target-ended",
         "outdated",
@@ -40,13 +41,13 @@
 void OpeningFence::onTargetEnded()
 {
     m_hasTargetEnded = true;
-    m_coldTarget.onTargetEnded();
+    identity().onEnded();
 }
 
 void OpeningFence::onTargetStarted(TimePoint now)
 {
     m_hasTargetEnded = false;
-    m_coldTarget.onTargetStarted(now);
+    identity().onStarted(now);
 }
 
 void OpeningFence::onDirectoryRead(bool isFromSource)
@@ -78,9 +79,12 @@
     // 4. Rate limit of a cold target, over all balancers.
     if (m_directory.findAt(m_settings.target) != nullptr) {
         m_coldLimit.setLimit(m_coldTarget.limit(now));
-        m_coldLimit.setSpentUntil(m_coldTarget.spentUntil());
+        m_coldLimit.setSpentUntil(m_coldTarget.spentUntil(now));
     }
-    return m_coldLimit.admit(now) ? OpeningRefusal::None : OpeningRefusal::Cold;
+    if (m_coldLimit.admit(now)) {
+        return OpeningRefusal::None;
+    }
+    return m_coldTarget.isListedCold(now) ? OpeningRefusal::Cold : OpeningRefusal::Unproven;
 }
 
 OpeningRefusal OpeningFence::lastingRefusal(TimePoint now) const
--- a/packages/stream/openingfence.h
+++ b/packages/stream/openingfence.h
@@ -21,6 +21,8 @@
     DataCentreOut,
     /// The rate limit of the cold target is reached.
     Cold,
+    /// The rate limit of a target is reached whose process is not proven to be that of its entry; it may be cold.
+    Unproven,
     /// This process is about to stop.
     Stopping,
     /// The process of the target has ended.
@@ -68,6 +70,12 @@
     /// Another target process has started.
     void onTargetStarted(TimePoint now);
 
+    /// What is known of the process of the target.
+    TargetIdentity &identity()
+    {
+        return m_coldTarget.identity();
+    }
+
     /// Refuses all openings until the directory has been read completely, or until the deadline.
     void suspendUntil(TimePoint deadline)
     {
--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -148,6 +148,7 @@
         m_announcer.onTargetChange(now);
         reportLoad(now, actions);
     }
+    m_fence.identity().onSign(now);
     if (segment->has(BouncedFlag)) {
         onBounced(now, *segment, actions);
         return;
@@ -174,6 +175,9 @@
         recordActivity(now, key, *flow);
     }
     onAnswer(now, key, *flow, *segment, actions);
+    if (!segment->has(SynFlag) && !segment->has(RstFlag)) {
+        m_fence.identity().onHeldFlow(now, flow->heldSince);
+    }
 }
 
 void StreamAgent::onTick(TimePoint now, StreamActions &actions)
@@ -398,6 +402,9 @@
 {
     const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
     const bool isLeaving = !m_directory.isComplete() || (own != nullptr && own->target.isDraining);
+    if (isProcessAlive) {
+        m_fence.identity().onSign(now);
+    }
     switch (m_watch.onProbed(now, isProcessAlive, isLeaving)) {
     case TargetWatch::Outcome::Started:
         m_retention.onTargetStarted();
@@ -566,6 +573,8 @@
 void StreamAgent::onAnswer(TimePoint now, const FlowKey &key, HeldFlow &flow, const Segment &segment, StreamActions &actions)
 {
     if (segment.has(SynFlag)) {
+        // Also the answer to a copy of the opening may come from a process that has started since the first one.
+        flow.heldSince = now;
         flow.targetSequence = segment.sequence;
         flow.targetEnd = segment.sequence + 1;
         flow.hasTargetSequence = true;
