End the proof of a target's process at each gap in which it may have restarted

Cause: nothing is sent to a target behind a cut, so that it is not probed, and its agent kept the entry of the process before for as long as the new one had not registered.

Change: a gap of more than 300 ms between two signs of life, and a packet of an open flow that the target returns, end the proof that its process is the one of its entry. A packet on a flow that it has held since before the gap brings it back, otherwise another entry or the cold time. No probe, message or call is added.

With restartTime at 300 s, as without the gaps, GapsEndTheProof and the property RestartsOfTheTargetKeepTheLimit fail.

--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -535,6 +535,7 @@
     }
     if (flow->state == HeldFlow::State::Open) {
         // The target held this flow and has lost it.
+        m_fence.identity().onLostFlow(now);
         flow->callerAcknowledgement = segment.acknowledgement;
         terminateFlow(now, key, *flow, QStringLiteral("reason=target-bounced"), actions);
     } else if (flow->state == HeldFlow::State::Unconfirmed) {
--- a/packages/stream/targetidentity.cpp
+++ b/packages/stream/targetidentity.cpp
@@ -26,11 +26,16 @@
 
 void TargetIdentity::onSign(TimePoint now)
 {
+    const bool isAfterGap = now - m_latestSign > m_settings.restartTime;
+    if (m_provenAt && isAfterGap) {
+        endProof(m_provenAt);
+    }
     if (m_provenAt) {
         m_provenAt = now;
-    } else {
-        m_firstSign = m_firstSign.value_or(now);
+    } else if (!m_firstSign || isAfterGap) {
+        m_firstSign = now;
     }
+    m_latestSign = now;
 }
 
 void TargetIdentity::onHeldFlow(TimePoint now, TimePoint heldSince)
@@ -41,6 +46,14 @@
     }
 }
 
+void TargetIdentity::onLostFlow(TimePoint now)
+{
+    if (m_provenAt) {
+        endProof(m_provenAt);
+    }
+    onSign(now);
+}
+
 void TargetIdentity::onEnded()
 {
     endProof(std::nullopt);
@@ -56,8 +69,11 @@
 
 bool TargetIdentity::isProven(TimePoint now, const TargetDirectory::Entry &own, Duration coldTime)
 {
+    if (m_provenAt && now - *m_provenAt > m_settings.restartTime) {
+        endProof(m_provenAt);
+    }
     const bool isNewEntry = m_hasRead && m_entry != own.target.incarnation;
-    const bool isWarmAnyway = m_firstSign && now - *m_firstSign >= coldTime;
+    const bool isWarmAnyway = m_firstSign && now - *m_firstSign >= coldTime && now - m_latestSign <= m_settings.restartTime;
     if (isNewEntry || isWarmAnyway) {
         m_entry = own.target.incarnation;
         m_provenAt = m_provenAt.value_or(now);
--- a/packages/stream/targetidentity.h
+++ b/packages/stream/targetidentity.h
@@ -13,7 +13,7 @@
 /// Decides whether the process of the local target is proven to be the one that its entry describes.
 ///
 /// A target may start again under its name at any time, and its entry may be that of the process before for as long as the new one cannot
-/// reach the source, or this agent cannot.
+/// reach the source, or this agent cannot. A restart fits into each gap between two signs of life; proof ends there.
 class TargetIdentity
 {
 public:
@@ -31,6 +31,9 @@
     /// The target has sent a packet of a flow that it has held since the time; TimePoint{} stands for before this agent has started.
     void onHeldFlow(TimePoint now, TimePoint heldSince);
 
+    /// The target has lost a flow, as by a restart, or by a time-out of its own.
+    void onLostFlow(TimePoint now);
+
     /// The process has ended.
     void onEnded();
 
@@ -58,6 +61,7 @@
     std::optional<TimePoint> m_flowProofLimit;
     /// Without proof: the first sign of the process that runs now.
     std::optional<TimePoint> m_firstSign;
+    TimePoint m_latestSign{};
 };
 
 }
--- a/tests/stream/coldtargettest.cpp
+++ b/tests/stream/coldtargettest.cpp
@@ -141,6 +141,20 @@
     EXPECT_EQ(m_cold.limit(start + 95ms), coldLimit) << "another process holds no flow from before";
 }
 
+// Guards against a target that counts as warm although it may have started again while it was silent, as behind a cut, and against a warm one that
+// is limited although its packets show that it has not.
+TEST_F(ColdTargetTest, GapsEndTheProof)
+{
+    proveTarget();
+    EXPECT_EQ(m_cold.limit(start + 8s), coldLimit) << "silent for three seconds";
+    m_cold.identity().onHeldFlow(start + 8100ms, start + 8050ms);
+    EXPECT_EQ(m_cold.limit(start + 8100ms), coldLimit) << "a flow from after the silence proves nothing";
+    m_cold.identity().onHeldFlow(start + 8150ms, start + 4s);
+    EXPECT_EQ(m_cold.limit(start + 8150ms), 0);
+    m_cold.identity().onLostFlow(start + 8200ms);
+    EXPECT_EQ(m_cold.limit(start + 8200ms), coldLimit) << "it may have started since";
+}
+
 // Guards against a warm target that is limited because its new entry arrives before its agent notices the start.
 TEST_F(ColdTargetTest, EntryOfTheNewProcessMayArriveFirst)
 {
@@ -151,6 +165,66 @@
     EXPECT_EQ(m_cold.limit(start + 1100ms), 0);
 }
 
+// Guards against a second in which a cold target gets more openings than the limit. It starts again at any time, at times behind a cut, in which
+// its registration is lost and its agent sees nothing of it; its agent may lose power with it.
+RC_GTEST_PROP(ColdTargetRestartTest, RestartsOfTheTargetKeepTheLimit, ())
+{
+    const StreamAgentSettings settings = agentSettings();
+    const auto milliseconds = [](int from, int to) {
+        return std::chrono::milliseconds(*rc::gen::inRange(from, to));
+    };
+    TargetDirectory directory({.agentPort = agentPort});
+    std::vector<TimePoint> taken;
+    std::optional<ColdTarget> cold;
+    std::optional<ColdLimit> limit;
+    const auto startAgent = [&](TimePoint now, const StreamTarget &listed) {
+        directory = TargetDirectory({.agentPort = agentPort});
+        cold.emplace(settings, directory, now);
+        limit.emplace();
+        for (const DirectoryChange &change : reading({listed})) {
+            directory.apply(now, change);
+        }
+        directory.apply(now, RoutesPublished{110, routes(2, {route}, coldLimit)});
+        cold->onDirectoryRead(true);
+    };
+    startAgent(start, target(1, 1));
+    TimePoint now = start;
+    const int restarts = *rc::gen::inRange(1, 4);
+    for (int restart = 1; restart <= restarts; ++restart) {
+        const auto play = [&](TimePoint end, bool isCut, bool isAlive, TimePoint registration) {
+            for (; now < end; now += std::chrono::milliseconds(5)) {
+                if (now >= registration) {
+                    StreamTarget entry = target(1, restart + 1);
+                    entry.coldDeadline = end;
+                    directory.apply(now, TargetListed{static_cast<quint64>(200 + restart), entry});
+                }
+                limit->setLimit(cold->limit(now));
+                limit->setSpentUntil(cold->spentUntil(now));
+                if (isCut || !limit->admit(now) || !isAlive) {
+                    continue;
+                }
+                taken.push_back(now);
+                cold->identity().onSign(now);
+            }
+        };
+        play(now + milliseconds(1, 3000), false, true, TimePoint::max());
+        const bool isCut = *rc::gen::arbitrary<bool>();
+        play(now + milliseconds(301, 2000), isCut, false, TimePoint::max());
+        if (*rc::gen::arbitrary<bool>()) {
+            startAgent(now, target(1, restart));
+        }
+        // The process runs again and is cold for two seconds; the cut ends, and a heartbeat later its registration arrives.
+        taken.clear();
+        const TimePoint coldUntil = now + 2s;
+        const TimePoint healed = isCut ? now + milliseconds(1, 700) : now;
+        play(healed, true, true, TimePoint::max());
+        play(coldUntil, false, true, healed + milliseconds(1, 1300));
+        for (std::size_t first = 0; first + coldLimit < taken.size(); ++first) {
+            RC_ASSERT(taken[first + coldLimit] - taken[first] >= 1s);
+        }
+    }
+}
+
 // Guards against a second that holds more openings than the limit, over all processes of the agent and of the target.
 // Agents end and start again at any time, also without a pause, and read the directory some time later.
 RC_GTEST_PROP(ColdTargetRestartTest, RestartsOfTheAgentKeepTheLimit, ())
