Split the table of held flows off the agent

Change: HeldFlows has the flows, their lookup, their checks for expiry and the test whether a segment is of a flow; behaviour stays. The functions for eras of TargetDirectory stand behind its inputs.

--- a/packages/stream/streamagent.cpp
+++ b/packages/stream/streamagent.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-/// Window in bytes in which a caller accepts a reset; also the limit for the first acknowledgement of an answer.
-constexpr quint32 acknowledgementWindow = 76'800;
 /// A balancer that has sent nothing for this long gets no more load reports.
 constexpr Duration balancerTimeout = 3s;
 /// How long openings are refused at most after a pause if no full read of the directory ends.
@@ -41,6 +39,7 @@
     , m_fence(m_settings, m_directory, now)
     , m_lookup(m_settings, m_directory)
     , m_retention(settings.retention, m_directory)
+    , m_flows(m_retention)
     , m_watch(m_settings, m_meter)
     , m_announcer(m_settings, m_directory)
     , m_peers(m_settings, m_directory)
@@ -154,7 +153,7 @@
         return;
     }
     const FlowKey key = segment->flowFromTarget();
-    HeldFlow *flow = find(key);
+    HeldFlow *flow = m_flows.find(key);
     if (flow != nullptr && flow->state == HeldFlow::State::Unconfirmed) {
         // A target may reset a flow that another one holds, with the numbers of the packet, and may remember an earlier flow
         // between these endpoints. Its answer is not for the caller then.
@@ -172,7 +171,7 @@
         // The flow is older than this process. The target sends packets of it, which confirms that it owns the flow.
         flow = &m_flows[key];
         flow->state = HeldFlow::State::Open;
-        recordActivity(now, key, *flow);
+        m_flows.recordActivity(now, key, *flow);
     }
     onAnswer(now, key, *flow, *segment, actions);
     if (!segment->has(SynFlag) && !segment->has(RstFlag)) {
@@ -189,7 +188,7 @@
         resetAfterLookup(now, key, actions);
     }
     while (!m_requestDeadlines.empty() && now >= m_requestDeadlines.front().first) {
-        if (HeldFlow *flow = find(m_requestDeadlines.front().second)) {
+        if (HeldFlow *flow = m_flows.find(m_requestDeadlines.front().second)) {
             endRequestAwait(*flow);
         }
         m_requestDeadlines.pop_front();
@@ -204,7 +203,9 @@
         actions.emplace_back(RecordStreamEvent{EventNumber::RouteHistoryQueried, {}, m_historyQueries.describeQuery(now, *peer)});
     }
     releaseQueued(now, actions);
-    removeExpired(now);
+    for (const FlowKey &key : m_flows.takeExpired(now)) {
+        removeFlow(now, key);
+    }
     if (now < m_loadDeadline) {
         return;
     }
@@ -299,7 +300,7 @@
 void StreamAgent::onOpening(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
 {
     const FlowKey key = segment.flowFromCaller();
-    HeldFlow *existing = find(key);
+    HeldFlow *existing = m_flows.find(key);
     if (existing != nullptr && existing->openingSequence == segment.sequence) {
         // A copy of the opening: the target repeats its answer, whatever has changed since.
         existing->balancer = message.balancer;
@@ -343,8 +344,8 @@
 void StreamAgent::onDeliver(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
 {
     const FlowKey key = segment.flowFromCaller();
-    HeldFlow *flow = find(key);
-    if (flow != nullptr && matchesAnswer(*flow, segment)) {
+    HeldFlow *flow = m_flows.find(key);
+    if (flow != nullptr && HeldFlows::isOf(*flow, segment)) {
         deliver(now, key, *flow, message, segment, actions);
         return;
     }
@@ -362,8 +363,8 @@
 void StreamAgent::onProbe(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
 {
     const FlowKey key = segment.flowFromCaller();
-    const HeldFlow *flow = findConfirmed(key);
-    if (flow != nullptr && matchesAnswer(*flow, segment)) {
+    const HeldFlow *flow = m_flows.findConfirmed(key);
+    if (flow != nullptr && HeldFlows::isOf(*flow, segment)) {
         deliver(now, key, m_flows[key], message, segment, actions);
         const StreamMessage held = answer(now, StreamMessageKind::Held, key);
         actions.emplace_back(SendStreamMessage{message.sender, held});
@@ -385,8 +386,8 @@
 void StreamAgent::onLocate(TimePoint now, const StreamMessage &message, const Segment &segment, StreamActions &actions)
 {
     const FlowKey key = segment.flowFromCaller();
-    const HeldFlow *flow = findConfirmed(key);
-    if (flow != nullptr && matchesAnswer(*flow, segment)) {
+    const HeldFlow *flow = m_flows.findConfirmed(key);
+    if (flow != nullptr && HeldFlows::isOf(*flow, segment)) {
         deliver(now, key, m_flows[key], message, segment, actions);
         actions.emplace_back(SendStreamMessage{message.balancer, answer(now, StreamMessageKind::Held, key)});
         return;
@@ -529,7 +530,7 @@
     if (denyDelivery(now, key, segment.tag, QStringLiteral("target-bounced"), actions)) {
         return;
     }
-    HeldFlow *flow = find(key);
+    HeldFlow *flow = m_flows.find(key);
     if (flow == nullptr || segment.isOpening()) {
         return;
     }
@@ -623,7 +624,7 @@
     }
     flow.hasTargetFinished = flow.hasTargetFinished || isReset || segment.has(FinFlag);
     flow.hasCallerFinished = flow.hasCallerFinished || isReset;
-    recordActivity(now, key, flow);
+    m_flows.recordActivity(now, key, flow);
     releaseQueued(now, actions);
 }
 
@@ -799,7 +800,7 @@
     flow.isRequestAwaited = true;
     ++m_awaitedRequestCount;
     m_requestDeadlines.emplace_back(now + m_settings.requestDelay, key);
-    recordActivity(now, key, flow);
+    m_flows.recordActivity(now, key, flow);
     sendToTarget(now, key, flow, message, actions);
 }
 
@@ -828,7 +829,7 @@
     while (!m_activeRequests.empty() && now >= std::get<0>(m_activeRequests.front())) {
         const auto [deadline, key, begin] = m_activeRequests.front();
         m_activeRequests.pop_front();
-        HeldFlow *flow = find(key);
+        HeldFlow *flow = m_flows.find(key);
         if (flow != nullptr && flow->requestStart == begin) {
             // Requests that wait in a busy target are late, not failed.
             const bool isFailure = flow->hasTargetSequence && m_meter.inProgress() <= m_slotCount;
@@ -917,7 +918,7 @@
     if (flow.state == HeldFlow::State::Answered) {
         flow.state = HeldFlow::State::Open;
     }
-    recordActivity(now, key, flow);
+    m_flows.recordActivity(now, key, flow);
     if (flow.state == HeldFlow::State::Unconfirmed) {
         sendToTarget(now, key, flow, message, actions);
         return;
@@ -936,7 +937,7 @@
         unconfirmed.denialDeadline = now + m_watch.silenceLimit();
     }
     trackCallerSegment(now, unconfirmed, message, segment);
-    recordActivity(now, key, unconfirmed);
+    m_flows.recordActivity(now, key, unconfirmed);
     sendToTarget(now, key, unconfirmed, message, actions);
     return unconfirmed;
 }
@@ -988,7 +989,7 @@
 void StreamAgent::runLookups(TimePoint now, StreamActions &actions)
 {
     while (const std::optional<FlowLookup::Round> round = m_lookup.takeRound(now, actions)) {
-        const bool mayOwnTargetHold = round->isOwnTargetAsked && !knowsAllFlows(now) && findConfirmed(round->flow) == nullptr;
+        const bool mayOwnTargetHold = round->isOwnTargetAsked && !knowsAllFlows(now) && m_flows.findConfirmed(round->flow) == nullptr;
         const bool isServiceAllowed = m_directory.mayHoldFlows(round->flow.service, m_settings.service);
         if (mayOwnTargetHold && isServiceAllowed) {
             deliverUnconfirmed(now, round->flow, round->message, *m_format.decode(round->message.packet), actions);
@@ -1070,45 +1071,15 @@
 
 void StreamAgent::removeFlow(TimePoint now, const FlowKey &key)
 {
-    const auto found = m_flows.find(key);
-    if (found == m_flows.end()) {
+    HeldFlow *flow = m_flows.find(key);
+    if (flow == nullptr) {
         return;
     }
-    endRequestAwait(found->second);
-    if (found->second.requestStart) {
-        endUnansweredRequest(now, found->second);
-    }
-    m_flows.erase(found);
-}
-
-void StreamAgent::recordActivity(TimePoint now, const FlowKey &key, HeldFlow &flow)
-{
-    flow.latestActivity = now;
-    if (!flow.isQueued) {
-        flow.isQueued = true;
-        m_checks.emplace_back(m_retention.nextCheck(now), key);
-    }
-}
-
-void StreamAgent::removeExpired(TimePoint now)
-{
-    while (!m_checks.empty() && now >= m_checks.front().first) {
-        const FlowKey key = m_checks.front().second;
-        m_checks.pop_front();
-        const HeldFlow *flow = find(key);
-        if (flow == nullptr) {
-            continue;
-        }
-        const bool isFinished = flow->hasCallerFinished && flow->hasTargetFinished;
-        if (now < m_retention.expiry(flow->latestActivity, isFinished)) {
-            m_checks.emplace_back(m_retention.nextCheck(now), key);
-            continue;
-        }
-        if (!isFinished) {
-            m_retention.recordUnknown(flow->latestActivity);
-        }
-        removeFlow(now, key);
+    endRequestAwait(*flow);
+    if (flow->requestStart) {
+        endUnansweredRequest(now, *flow);
     }
+    m_flows.erase(key);
 }
 
 void StreamAgent::recordBalancer(TimePoint now, const Endpoint &balancer)
@@ -1116,23 +1087,6 @@
     m_balancers[balancer] = now + balancerTimeout;
 }
 
-bool StreamAgent::matchesAnswer(const HeldFlow &flow, const Segment &segment) const
-{
-    if (!flow.position.fits(FlowPosition::fromCaller(segment))) {
-        return false;
-    }
-    switch (flow.state) {
-    case HeldFlow::State::Offered:
-        // The target has not answered, so that the segment cannot belong to its flow unless it is a copy of the
-        // opening.
-        return false;
-    case HeldFlow::State::Answered:
-        return segment.acknowledgement - (flow.targetSequence + 1) <= acknowledgementWindow;
-    default:
-        return true;
-    }
-}
-
 StreamMessage StreamAgent::answer(TimePoint now, StreamMessageKind kind, const FlowKey &key) const
 {
     StreamMessage message;
@@ -1155,16 +1109,4 @@
     return message;
 }
 
-const HeldFlow *StreamAgent::findConfirmed(const FlowKey &key)
-{
-    const HeldFlow *flow = find(key);
-    return flow != nullptr && flow->state != HeldFlow::State::Unconfirmed ? flow : nullptr;
-}
-
-HeldFlow *StreamAgent::find(const FlowKey &key)
-{
-    const auto found = m_flows.find(key);
-    return found != m_flows.end() ? &found->second : nullptr;
-}
-
 }
--- a/packages/stream/streamagent.h
+++ b/packages/stream/streamagent.h
@@ -4,7 +4,7 @@
 #include "stream/directorypeers.h"
 #include "stream/flowlookup.h"
 #include "stream/flowretention.h"
-#include "stream/heldflow.h"
+#include "stream/heldflows.h"
 #include "stream/loadmeter.h"
 #include "stream/openingfence.h"
 #include "stream/openingqueue.h"
@@ -165,14 +165,8 @@
     /// Whether the target holds no flow in use that this process has no record of.
     bool knowsAllFlows(TimePoint now) const;
     void removeFlow(TimePoint now, const FlowKey &key);
-    void recordActivity(TimePoint now, const FlowKey &key, HeldFlow &flow);
-    void removeExpired(TimePoint now);
     void recordBalancer(TimePoint now, const Endpoint &balancer);
-    bool matchesAnswer(const HeldFlow &flow, const Segment &segment) const;
     StreamMessage answer(TimePoint now, StreamMessageKind kind, const FlowKey &key) const;
-    /// The flow, unless the target has not confirmed yet that it holds it.
-    const HeldFlow *findConfirmed(const FlowKey &key);
-    HeldFlow *find(const FlowKey &key);
 
     StreamAgentSettings m_settings;
     const SegmentFormat &m_format;
@@ -180,6 +174,7 @@
     OpeningFence m_fence;
     FlowLookup m_lookup;
     FlowRetention m_retention;
+    HeldFlows m_flows;
     LoadMeter m_meter;
     TargetWatch m_watch;
     TargetAnnouncer m_announcer;
@@ -193,9 +188,6 @@
     /// Requests in progress: deadline until which the request counts, its flow and its start.
     std::deque<std::tuple<TimePoint, FlowKey, TimePoint>> m_activeRequests;
     quint32 m_slotCount = 1;
-    std::unordered_map<FlowKey, HeldFlow> m_flows;
-    /// When each flow is checked for expiry, ordered by time.
-    std::deque<std::pair<TimePoint, FlowKey>> m_checks;
     std::array<Delivery, deliveryCount> m_deliveries;
     quint32 m_nextTag = 1;
     /// Balancers that have sent segments, and until when they get load reports.
--- a/packages/stream/targetdirectory.cpp
+++ b/packages/stream/targetdirectory.cpp
@@ -35,74 +35,6 @@
     }
 }
 
-// Eras
-
-void TargetDirectory::beginEra(TimePoint now, quint64 era)
-{
-    m_era = era;
-    m_postponed.clear();
-    if (!m_isComplete) {
-        return;
-    }
-    m_rewriteDeadline = now + m_settings.relistGrace;
-    m_settledDeadline = std::max(m_settledDeadline, m_rewriteDeadline);
-    m_routeHistory.onGap(now);
-    ++m_generation;
-}
-
-bool TargetDirectory::reverts(const TargetListed &change) const
-{
-    const Entry *known = find(change.target.id);
-    if (known == nullptr || known->position.era >= change.position.era) {
-        return false;
-    }
-    const bool isSameProcess = known->target.incarnation == change.target.incarnation;
-    const bool hasEnded = isSameProcess && !known->isPresent();
-    const bool wasDraining = isSameProcess && known->target.isDraining && !change.target.isDraining;
-    const bool isEarlierProcess = !isSameProcess && change.target.startTime < known->target.startTime;
-    return hasEnded || wasDraining || isEarlierProcess;
-}
-
-bool TargetDirectory::reverts(const DataCentreSwitched &change) const
-{
-    const DataCentreState known = m_dataCentres.value(change.name);
-    return known.isOut && !change.isOut && known.position.era < change.position.era;
-}
-
-bool TargetDirectory::postpone(TimePoint now, const DirectoryChange &change)
-{
-    const auto *listed = std::get_if<TargetListed>(&change);
-    const auto *unlisted = std::get_if<TargetUnlisted>(&change);
-    const auto *switched = std::get_if<DataCentreSwitched>(&change);
-    if (listed == nullptr && unlisted == nullptr && switched == nullptr) {
-        return false;
-    }
-    const QString key = switched != nullptr ? QStringLiteral("data centre ") + switched->name
-                                            : QStringLiteral("target ") + (listed != nullptr ? listed->target.name : unlisted->name);
-    const auto earlier = m_postponed.find(key);
-    if (earlier != m_postponed.end() && positionOf(earlier->second) > positionOf(change)) {
-        return true;
-    }
-    if (earlier != m_postponed.end()) {
-        m_postponed.erase(earlier);
-    }
-    const bool isReverting = (listed != nullptr && reverts(*listed)) || (switched != nullptr && reverts(*switched));
-    if (now >= m_rewriteDeadline || !isReverting) {
-        return false;
-    }
-    m_postponed.emplace(key, change);
-    return true;
-}
-
-void TargetDirectory::applyPostponed(TimePoint now)
-{
-    std::map<QString, DirectoryChange> postponed;
-    std::swap(postponed, m_postponed);
-    for (const auto &[key, change] : postponed) {
-        std::visit([this, now](const auto &part) { applyChange(now, part); }, change);
-    }
-}
-
 void TargetDirectory::recordUnlisted(TimePoint now, const Endpoint &address, ServiceId service)
 {
     bool isKnown = false;
@@ -338,6 +270,74 @@
     }
 }
 
+// Eras
+
+void TargetDirectory::beginEra(TimePoint now, quint64 era)
+{
+    m_era = era;
+    m_postponed.clear();
+    if (!m_isComplete) {
+        return;
+    }
+    m_rewriteDeadline = now + m_settings.relistGrace;
+    m_settledDeadline = std::max(m_settledDeadline, m_rewriteDeadline);
+    m_routeHistory.onGap(now);
+    ++m_generation;
+}
+
+bool TargetDirectory::reverts(const TargetListed &change) const
+{
+    const Entry *known = find(change.target.id);
+    if (known == nullptr || known->position.era >= change.position.era) {
+        return false;
+    }
+    const bool isSameProcess = known->target.incarnation == change.target.incarnation;
+    const bool hasEnded = isSameProcess && !known->isPresent();
+    const bool wasDraining = isSameProcess && known->target.isDraining && !change.target.isDraining;
+    const bool isEarlierProcess = !isSameProcess && change.target.startTime < known->target.startTime;
+    return hasEnded || wasDraining || isEarlierProcess;
+}
+
+bool TargetDirectory::reverts(const DataCentreSwitched &change) const
+{
+    const DataCentreState known = m_dataCentres.value(change.name);
+    return known.isOut && !change.isOut && known.position.era < change.position.era;
+}
+
+bool TargetDirectory::postpone(TimePoint now, const DirectoryChange &change)
+{
+    const auto *listed = std::get_if<TargetListed>(&change);
+    const auto *unlisted = std::get_if<TargetUnlisted>(&change);
+    const auto *switched = std::get_if<DataCentreSwitched>(&change);
+    if (listed == nullptr && unlisted == nullptr && switched == nullptr) {
+        return false;
+    }
+    const QString key = switched != nullptr ? QStringLiteral("data centre ") + switched->name
+                                            : QStringLiteral("target ") + (listed != nullptr ? listed->target.name : unlisted->name);
+    const auto earlier = m_postponed.find(key);
+    if (earlier != m_postponed.end() && positionOf(earlier->second) > positionOf(change)) {
+        return true;
+    }
+    if (earlier != m_postponed.end()) {
+        m_postponed.erase(earlier);
+    }
+    const bool isReverting = (listed != nullptr && reverts(*listed)) || (switched != nullptr && reverts(*switched));
+    if (now >= m_rewriteDeadline || !isReverting) {
+        return false;
+    }
+    m_postponed.emplace(key, change);
+    return true;
+}
+
+void TargetDirectory::applyPostponed(TimePoint now)
+{
+    std::map<QString, DirectoryChange> postponed;
+    std::swap(postponed, m_postponed);
+    for (const auto &[key, change] : postponed) {
+        std::visit([this, now](const auto &part) { applyChange(now, part); }, change);
+    }
+}
+
 // Routes
 
 bool TargetDirectory::mayHoldFlows(const Endpoint &address, ServiceId service) const
--- a/packages/stream/targetidentity.cpp
+++ b/packages/stream/targetidentity.cpp
@@ -14,7 +14,7 @@
 
 void TargetIdentity::onDirectoryRead(bool isFromSource)
 {
-    // Peers may serve an entry that is older than that of the process before, so that the entry of the source is no news.
+    // Peers may serve an older entry than the source has, so that the first one of the source does not show a new process.
     const bool isFirst = !m_hasRead || (isFromSource && !m_hasReadSource);
     const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
     if (isFirst && !m_provenAt) {
