Take only silence that the limit cannot cause for a possible restart

Cause: the limit of a target without proof keeps all openings from it for up to 1.1 s. With 300 ms as the length of a gap, this silence counted as another possible restart, and the cold time began anew for ever.

Change: a gap is 1.2 s, above ColdLimit::window. Quicker restarts show by refused connections and lost flows; the property plays them so, as it no longer models a silent restart within a second without a cut.

What is lost is the limit in the first two seconds after the agents' start. With 300 ms LimitItselfMakesNoGap fails.

--- a/packages/stream/streamagentsettings.h
+++ b/packages/stream/streamagentsettings.h
@@ -36,8 +36,9 @@
     /// Rate limit of a cold target: its requests per second times the factor, plus the slack.
     double coldFactor = 1.0;
     double coldSlack = 0;
-    /// A target may have ended and started again between two signs of life that are further apart.
-    Duration restartTime = 300ms;
+    /// A target may have ended and started again unseen between two signs of life that are further apart. Above the time for which the limit of
+    /// a cold target keeps all openings from it, ColdLimit::window; quicker restarts show by refused connections and lost flows.
+    Duration restartTime = 1200ms;
     /// Minimum time for which a target counts as cold after its data centre has returned; the report of it may be late.
     Duration returnColdTime = 2s;
     /// Requests beyond its slots that a target is given, per slot. They keep the slots busy while the next opening
