Give proof of its target to an agent of the first start of the system

Cause: all agents began without proof, so that all targets were limited as cold ones for the first two seconds of a system that starts for the first time.

Change: when the whole system starts for the first time, no entry can be that of an earlier process, so that proof is given.

--- a/packages/stream/targetidentity.cpp
+++ b/packages/stream/targetidentity.cpp
@@ -8,6 +8,11 @@
     , m_directory(directory)
     , m_flowProofLimit(now)
 {
+    // When the whole system starts for the first time, no entry can be that of an earlier process.
+    if (settings.directory.routeHistory.isInitialStart) {
+        m_provenAt = now;
+        m_latestSign = now;
+    }
 }
 
 // Input
@@ -17,7 +22,7 @@
     // Peers may serve an older entry than the source has, so that the first one of the source does not show a new process.
     const bool isFirst = !m_hasRead || (isFromSource && !m_hasReadSource);
     const TargetDirectory::Entry *own = m_directory.findAt(m_settings.target);
-    if (isFirst && !m_provenAt) {
+    if (isFirst && (!m_provenAt || !m_hasRead)) {
         m_entry = own != nullptr ? std::optional(own->target.incarnation) : std::nullopt;
     }
     m_hasRead = true;
--- a/packages/stream/targetidentity.h
+++ b/packages/stream/targetidentity.h
@@ -17,7 +17,7 @@
 class TargetIdentity
 {
 public:
-    /// Builds a record without proof for an agent that starts now; both references must outlive it.
+    /// Builds a record for an agent that starts now, without proof unless the whole system starts; both references must outlive it.
     TargetIdentity(const StreamAgentSettings &settings, const TargetDirectory &directory, TimePoint now);
 
     // Input
--- a/tests/stream/coldtargettest.cpp
+++ b/tests/stream/coldtargettest.cpp
@@ -155,6 +155,21 @@
     EXPECT_EQ(m_cold.limit(start + 8200ms), coldLimit) << "it may have started since";
 }
 
+// Guards against callers that are refused in the first seconds of the system, in which all targets would count as cold.
+TEST_F(ColdTargetTest, FirstStartOfTheSystemNeedsNoProof)
+{
+    m_settings.directory.routeHistory.isInitialStart = true;
+    TargetDirectory directory({.agentPort = agentPort});
+    for (const DirectoryChange &change : reading({target(1, 1)})) {
+        directory.apply(start, change);
+    }
+    directory.apply(start, RoutesPublished{110, routes(2, {route}, coldLimit)});
+    ColdTarget cold(m_settings, directory, start);
+    cold.onDirectoryRead(true);
+    EXPECT_EQ(cold.limit(start + 500ms), 0);
+    EXPECT_EQ(cold.limit(start + 3s), coldLimit) << "silent since";
+}
+
 // Guards against a warm target that is limited for ever under load: the limit keeps openings from it for a second, and its silence then passes
 // for another gap in which it may have started again.
 TEST_F(ColdTargetTest, LimitItselfMakesNoGap)
